--- /dev/null
+++ b/programs/decree/main.cc
@@ -0,0 +1,188 @@
+// decree: the operator's command line (§8.2). Exit codes: 0 done, 1 refused, 2 bad usage or input,
+// 3 the outcome is not known, 4 not reached or no majority, 5 taken but not confirmed by all.
+#include <libsoup/soup.h>
+
+#include <boost/program_options.hpp>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "canon/creed/creed.h"
+#include "flow/errand/parse.h"
+#include "ground/ip.h"
+
+namespace pipit {
+namespace {
+
+namespace options = boost::program_options;
+
+struct Got {
+  unsigned status = 0;
+  std::string body;
+  std::string serial;
+  std::string emptied;
+  std::string change;
+  std::string why;
+};
+
+Got talk(char const* method, std::string const& address, std::string const& path, std::string const* body, std::string const& expected) {
+  Got out;
+  SoupSession* const session = soup_session_new_with_options("timeout", 10, "proxy-resolver", nullptr, nullptr);
+  SoupMessage* const message = soup_message_new(method, ("http://" + address + path).c_str());
+  soup_message_set_flags(message, static_cast<SoupMessageFlags>(SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_NEW_CONNECTION));
+  if (!expected.empty()) soup_message_headers_replace(soup_message_get_request_headers(message), "If-Match", expected.c_str());
+  if (body != nullptr) {
+    GBytes* const bytes = g_bytes_new(body->data(), body->size());
+    soup_message_set_request_body_from_bytes(message, "application/json", bytes);
+    g_bytes_unref(bytes);
+  }
+  GError* error = nullptr;
+  GBytes* const bytes = soup_session_send_and_read(session, message, nullptr, &error);
+  if (bytes != nullptr) {
+    gsize size = 0;
+    char const* const raw = static_cast<char const*>(g_bytes_get_data(bytes, &size));
+    if (raw != nullptr) out.body.assign(raw, size);
+    g_bytes_unref(bytes);
+    out.status = soup_message_get_status(message);
+    SoupMessageHeaders* const head = soup_message_get_response_headers(message);
+    struct Row {
+      char const* name;
+      std::string& slot;
+    };
+    for (Row const& row : {Row{"X-Pipit-Serial", out.serial}, Row{"X-Pipit-Emptied", out.emptied}, Row{"X-Pipit-Change", out.change}})
+      if (char const* const value = soup_message_headers_get_one(head, row.name)) row.slot = value;
+  } else {
+    out.why = error->message;
+    g_error_free(error);
+  }
+  g_object_unref(message);
+  g_object_unref(session);
+  return out;
+}
+
+int code_of(Got const& got) {
+  if (got.status == 0) return 4;
+  if (got.status == 200) return 0;
+  if (got.status == 202) return 5;
+  if (got.status == 504) return 3;
+  if (got.status == 503) return 4;
+  if (got.status == 400 || got.status == 413) return 2;
+  return 1;
+}
+
+int show(Got const& got) {
+  int const code = code_of(got);
+  if (got.status == 0) {
+    std::fprintf(stderr, "decree: the node is not reached: %s\n", got.why.c_str());
+  } else {
+    std::fprintf(code == 0 || code == 5 ? stdout : stderr, "%s\n", got.body.c_str());
+    if (code == 3) std::fprintf(stderr, "decree: resolve it with: decree change %s\n", got.change.c_str());
+  }
+  return code;
+}
+
+bool slurp(std::string const& path, std::string& out) {
+  std::stringstream text;
+  if (path == "-") {
+    text << std::cin.rdbuf();
+  } else {
+    std::ifstream file(path, std::ios::binary);
+    if (!file) return false;
+    text << file.rdbuf();
+  }
+  out = text.str();
+  return true;
+}
+
+char const usage[] =
+    "decree: checks, applies and reads the description, and empties and refills zones\n"
+    "  decree check FILE                check a description, without any node\n"
+    "  decree apply FILE [--expect N]   apply it whole; without --expect the present serial is read first\n"
+    "  decree read [--marks]            print the accepted description as it was written\n"
+    "  decree empty ZONE                no more requests to a zone; yes once every node confirms\n"
+    "  decree refill ZONE               requests to the zone again\n"
+    "  decree change ID                 whether a change whose outcome was unknown was chosen\n"
+    "  decree status                    what one node knows, as JSON\n"
+    "Exit codes: 0 done; 1 refused; 2 bad usage or description; 3 outcome unknown; 4 not reached or no majority;\n"
+    "            5 chosen, but not confirmed by every node yet\n";
+
+int run(int argc, char** argv) {
+  std::vector<std::string> words;
+  std::string node = "127.0.0.1:7080";
+  std::string expect;
+  bool marks = false;
+  options::options_description flags("Flags");
+  flags.add_options()("node", options::value(&node), "IP:port of any node (default 127.0.0.1:7080)")(
+      "expect", options::value(&expect), "the serial that the change expects")("marks", options::bool_switch(&marks), "print serial and emptied zones, not the text")("help", "this text");
+  options::options_description all;
+  all.add(flags);
+  all.add_options()("words", options::value(&words));
+  options::positional_options_description spots;
+  spots.add("words", -1);
+  try {
+    options::variables_map map;
+    options::store(options::command_line_parser(argc, argv).options(all).positional(spots).run(), map);
+    options::notify(map);
+    if (map.count("help")) {
+      std::cout << usage << flags;
+      return 0;
+    }
+  } catch (options::error const& bad) {
+    std::fprintf(stderr, "decree: %s\n", bad.what());
+    return 2;
+  }
+  std::string const verb = words.empty() ? "" : words[0];
+  bool const two = words.size() == 2;
+  if (!good_address(node)) {
+    std::fprintf(stderr, "decree: node: '%s' is not an IP number with a port\n", node.c_str());
+    return 2;
+  }
+  if (verb == "check" && two) {
+    std::string text;
+    if (!slurp(words[1], text)) {
+      std::fprintf(stderr, "decree: the file %s cannot be read\n", words[1].c_str());
+      return 2;
+    }
+    Result<std::shared_ptr<Creed const>> const made = read_creed(text);
+    if (!made) {
+      std::fprintf(stderr, "decree: %s: %s: %s\n", kind_row(made.error().kind).name, made.error().place.c_str(), made.error().why.c_str());
+      return 2;
+    }
+    std::printf("good: %zu pools, %zu lanes\n", made.value()->pools.size(), made.value()->lanes.size());
+    return 0;
+  }
+  if (verb == "apply" && two) {
+    std::string text;
+    if (!slurp(words[1], text)) {
+      std::fprintf(stderr, "decree: the file %s cannot be read\n", words[1].c_str());
+      return 2;
+    }
+    if (expect.empty()) {
+      Got const present = talk("GET", node, "/v1/description", nullptr, "");
+      if (present.status != 200) return show(present);
+      expect = present.serial;
+    }
+    return show(talk("PUT", node, "/v1/description", &text, expect));
+  }
+  if (verb == "read" && words.size() == 1) {
+    Got const got = talk("GET", node, "/v1/description", nullptr, "");
+    if (got.status != 200) return show(got);
+    if (marks) std::printf("serial %s emptied %s\n", got.serial.c_str(), got.emptied.c_str());
+    else std::fwrite(got.body.data(), 1, got.body.size(), stdout);
+    return 0;
+  }
+  if ((verb == "empty" || verb == "refill") && two) {
+    std::string const none;
+    return show(talk("POST", node, "/v1/zones/" + words[1] + "/" + verb, &none, ""));
+  }
+  if (verb == "change" && two) return show(talk("GET", node, "/v1/changes/" + words[1], nullptr, ""));
+  if (verb == "status" && words.size() == 1) return show(talk("GET", node, "/v1/status", nullptr, ""));
+  std::fputs(usage, stderr);
+  return 2;
+}
+
+}  // namespace
+}  // namespace pipit
+
+int main(int argc, char** argv) { return pipit::run(argc, argv); }
--- /dev/null
+++ b/proof/scene/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/canon/grant/grants.h
@@ -0,0 +1,46 @@
+// Duties that one node does: a majority of keepers grants them for a term; the holder stops early (§5.7).
+#pragma once
+#include <map>
+#include <set>
+#include <string>
+
+#include "canon/register/proposer.h"
+
+namespace pipit {
+
+constexpr Micros grant_term = seconds(5);
+
+// On a keeper: who holds what, in memory only. A keeper that just began grants nothing for a whole term,
+// since it may have granted just before it ended.
+class Granter {
+ public:
+  explicit Granter(Micros born_) : born(born_) {}
+  bool ask(std::string const& who, std::string const& duty, Micros term, Micros now);
+
+ private:
+  struct Held {
+    std::string who;
+    Micros until = 0;
+  };
+  Micros const born;
+  std::map<std::string, Held> held;
+};
+
+// On the node that wants a duty.
+class Holder {
+ public:
+  Holder(std::string duty_, std::uint64_t seed) : duty(std::move(duty_)), req(stir(seed ^ mix(duty)) >> 8) {}
+  void tick(Micros now, Ring const& ring, std::vector<Letter>& out);
+  void take(std::string const& from, wire::GrantAnsT const& ans, Micros now, Ring const& ring);
+  // The holder's own end is earlier than the granters' by a fifth, for clocks that run at different rates.
+  bool holds(Micros now) const { return now < until; }
+
+ private:
+  std::string const duty;
+  std::uint64_t req;
+  Micros asked = -grant_term;
+  Micros until = -1;
+  std::set<std::string> yes;
+};
+
+}  // namespace pipit
--- /dev/null
+++ b/src/canon/register/acceptor.h
@@ -0,0 +1,58 @@
+// The register's acceptor on a machine with a disk. Nothing is answered before it is synced (§5.3).
+#pragma once
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ground/micros.h"
+#include "wire_generated.h"
+
+namespace pipit {
+
+inline bool operator<(wire::Ballot const& a, wire::Ballot const& b) {
+  return a.n() != b.n() ? a.n() < b.n() : a.who() < b.who();
+}
+inline bool same(wire::Ballot const& a, wire::Ballot const& b) { return a.n() == b.n() && a.who() == b.who(); }
+
+// A message of the control plane, addressed by name; the mesh carries it.
+struct Letter {
+  std::string to;
+  wire::BodyUnion body;
+};
+template <class T>
+Letter letter(std::string to, T&& body) {
+  Letter out;
+  out.to = std::move(to);
+  out.body.Set(std::forward<T>(body));
+  return out;
+}
+
+class Acceptor {
+ public:
+  // The durable state as recovered, or formatted anew.
+  explicit Acceptor(wire::RecordT slate_);
+
+  // Messages are taken into a backlog; step() works through it while no sync is under way.
+  void take(std::string from, wire::BodyUnion body);
+  // Fills what to send; returns a record to sync when one is due.
+  std::optional<wire::RecordT> step(std::vector<Letter>& out);
+  // The record that step() returned is synced.
+  void synced(std::vector<Letter>& out);
+
+  wire::RecordT const& held() const { return firm; }
+  std::size_t backlog() const { return inbox.size(); }
+
+ private:
+  bool handle(std::string const& from, wire::BodyUnion& body, std::vector<Letter>& out);
+
+  wire::RecordT slate;  // with what is not synced yet
+  wire::RecordT firm;   // what is synced
+  bool busy = false;
+  std::deque<std::pair<std::string, wire::BodyUnion>> inbox;
+  std::vector<Letter> held_back;
+};
+
+wire::PeekedT peeked(wire::RecordT const& slate, std::uint64_t req, bool full);
+
+}  // namespace pipit
--- /dev/null
+++ b/src/canon/ring/ring.h
@@ -0,0 +1,51 @@
+// A ring of preallocated, checksummed files that holds one record: the keeper's state (§5.6).
+#pragma once
+#include <array>
+#include <string>
+
+#include "ground/kinds.h"
+#include "wire_generated.h"
+
+namespace pipit {
+
+// What the ring needs of a disk. The real one is POSIX files; the simulator has its own, with power cuts.
+class Disk {
+ public:
+  virtual ~Disk() = default;
+  virtual bool exists(std::string const& name) = 0;
+  virtual Result<std::string> read(std::string const& name) = 0;
+  // Writes at offset 0 of a file that allocate() made, then syncs it.
+  virtual Result<void> write(std::string const& name, std::string const& bytes) = 0;
+  virtual Result<void> allocate(std::string const& name, std::size_t size) = 0;
+};
+
+class RingLog {
+ public:
+  static constexpr std::size_t slots = 4;
+  static constexpr std::size_t slot_size = 6u << 20;
+
+  RingLog(Disk& disk_, std::string cluster_, std::string name_)
+      : disk(disk_), cluster(std::move(cluster_)), name(std::move(name_)) {}
+
+  // Recovers the last synced record; formats a blank folder with a disk id. 'blank' tells which.
+  Result<wire::RecordT> open(std::uint64_t fresh_id, bool& blank);
+  // Each record is written to two slots in turn, so that one rotten copy loses nothing.
+  Result<void> save(wire::RecordT const& record);
+
+ private:
+  struct Slot {
+    bool whole = false;
+    bool empty = false;
+    std::uint64_t seq = 0;
+    std::string body;
+  };
+  Slot inspect(std::string const& bytes) const;
+  static std::string file(std::size_t slot) { return "ring-" + std::to_string(slot); }
+
+  Disk& disk;
+  std::string const cluster;
+  std::string const name;
+  std::uint64_t seq = 0;
+};
+
+}  // namespace pipit
--- /dev/null
+++ b/src/core/node.cc
@@ -0,0 +1,579 @@
+#include "core/node.h"
+
+#include <algorithm>
+
+#include "ground/events.h"
+
+namespace pipit {
+
+namespace {
+constexpr Micros poll_gap = millis(500);
+constexpr Micros list_gap = millis(500);
+constexpr Micros check_gap = seconds(1);
+constexpr Micros jump = seconds(1);
+constexpr Micros fresh_bound = seconds(3);
+constexpr Micros confirm_bound = millis(2000);
+constexpr Micros keeper_lost = seconds(3);
+
+wire::MemberT self_of(NodePlan const& plan) {
+  wire::MemberT out;
+  out.name = plan.name;
+  out.address = plan.address;
+  out.http = plan.http;
+  out.role = static_cast<std::uint8_t>(plan.role);
+  out.zone = plan.zone;
+  out.incarnation = plan.incarnation;
+  out.models = plan.models;
+  return out;
+}
+MeshPlan mesh_of(NodePlan const& plan) {
+  MeshPlan out;
+  out.cluster = plan.cluster;
+  out.seeds = plan.seeds;
+  return out;
+}
+}  // namespace
+
+Node::Node(NodePlan plan_, Micros now, std::optional<wire::RecordT> slate)
+    : plan(std::move(plan_)),
+      mesh(mesh_of(plan), self_of(plan), plan.chance),
+      proposer(plan.name, plan.chance ^ plan.incarnation),
+      learner(plan.name),
+      tide(plan.chance + 1),
+      desk(plan.name, plan.zone, tide, fleet),
+      granter(now),
+      mend("mend", plan.chance ^ plan.incarnation ^ mix(plan.name)),
+      born(now),
+      last_tick(now) {
+  if (slate) acceptor.emplace(std::move(*slate));
+}
+
+void Node::watch_clock(Micros now) {
+  if (now - last_tick > jump) {
+    ++jumps;
+    stale_from = now;
+    if (plan.role == Role::passage) desk.hold(true);
+    list_flying = false;
+    tell(Event::clock_jumped, std::to_string((now - last_tick) / 1000) + " ms");
+  }
+  last_tick = now;
+}
+
+std::vector<std::string> Node::keepers() const {
+  std::set<std::string> out;
+  for (std::pair<std::string const, Peer> const& item : mesh.roll.peers)
+    if (item.second.role() == Role::accord && item.second.wire != 0) out.insert(item.first);
+  if (acceptor) out.insert(plan.name);
+  return std::vector<std::string>(out.begin(), out.end());
+}
+
+std::set<std::string> Node::passages(bool all) const {
+  std::set<std::string> out;
+  if (plan.role == Role::passage) out.insert(plan.name);
+  for (std::pair<std::string const, Peer> const& item : mesh.roll.peers) {
+    State const state = item.second.state();
+    if (item.second.role() == Role::passage && (all || state == State::alive || state == State::suspected)) out.insert(item.first);
+  }
+  return out;
+}
+
+std::vector<std::string> Node::tide_peers() const {
+  std::vector<std::string> out;
+  for (std::pair<std::string const, Peer> const& item : mesh.roll.peers)
+    if (item.second.role() == Role::passage && item.second.wire != 0 && item.second.state() == State::alive) out.push_back(item.first);
+  return out;
+}
+
+Index::Bounds Node::bounds(std::string const& model) const {
+  Index::Bounds out;
+  for (Pool const& pool : desk.creed()->pools)
+    if (pool.model == model) {
+      out.blocks = static_cast<std::size_t>(pool.cache_blocks);
+      out.age = pool.cache_age;
+    }
+  return out;
+}
+
+// Carries letters until none is left: to this node itself at once, to others by the mesh.
+void Node::dispatch(std::vector<Letter>& letters, Micros now, NodeOut& out) {
+  while (!letters.empty()) {
+    std::vector<Letter> batch;
+    batch.swap(letters);
+    for (Letter& item : batch) {
+      if (item.to == plan.name) {
+        deliver(plan.name, item.body, now, out);
+        continue;
+      }
+      std::map<std::string, Peer>::const_iterator const peer = mesh.roll.peers.find(item.to);
+      if (peer == mesh.roll.peers.end() || peer->second.wire == 0) continue;
+      wire::FrameT frame;
+      frame.body = std::move(item.body);
+      flatbuffers::FlatBufferBuilder space(512);
+      space.FinishSizePrefixed(wire::Frame::Pack(space, &frame));
+      if (space.GetSize() > frame_limit) continue;
+      out.mesh.sends.push_back({peer->second.wire, std::string(reinterpret_cast<char const*>(space.GetBufferPointer()), space.GetSize())});
+    }
+  }
+}
+
+void Node::deliver(std::string const& from, wire::BodyUnion& body, Micros now, NodeOut& out) {
+  std::vector<Letter> letters;
+  switch (body.type) {
+    case wire::Body::Prepare:
+    case wire::Body::Accept:
+    case wire::Body::Found:
+      if (acceptor) {
+        acceptor->take(from, std::move(body));
+        if (std::optional<wire::RecordT> save = acceptor->step(letters)) out.save = std::move(save);
+      }
+      break;
+    case wire::Body::Peek:
+      if (acceptor) letters.push_back(letter(from, peeked(acceptor->held(), body.AsPeek()->req, body.AsPeek()->full)));
+      break;
+    case wire::Body::Promise:
+    case wire::Body::Accepted:
+      proposer.take(from, body, now, letters);
+      settle_ended(now, out);
+      break;
+    case wire::Body::Peeked:
+      if (learner.take(from, *body.AsPeeked(), now, letters)) after_value(now, out);
+      proposer.know(learner.ring());
+      look_ready(now, out);
+      break;
+    case wire::Body::Chosen: {
+      wire::ChosenT const& news = *body.AsChosen();
+      if (!news.value) break;
+      if (learner.adopt(*news.value, now)) after_value(now, out);
+      proposer.know(learner.ring());
+      wire::ConfirmT ok;
+      ok.req = news.req;
+      ok.serial = learner.serial();
+      if (news.req != 0) letters.push_back(letter(from, std::move(ok)));
+      look_ready(now, out);
+      break;
+    }
+    case wire::Body::Confirm: {
+      std::map<std::uint64_t, Waiting>::iterator const spot = waiting.find(body.AsConfirm()->req);
+      if (spot != waiting.end() && body.AsConfirm()->serial >= spot->second.serial) spot->second.owe.erase(from);
+      settle_waiting(now, out);
+      break;
+    }
+    case wire::Body::GrantAsk:
+      if (acceptor) {
+        wire::GrantAskT const& ask = *body.AsGrantAsk();
+        wire::GrantAnsT ans;
+        ans.req = ask.req;
+        ans.duty = ask.duty;
+        ans.disk = acceptor->held().disk;
+        ans.ok = granter.ask(from, ask.duty, ask.term, now);
+        letters.push_back(letter(from, std::move(ans)));
+      }
+      break;
+    case wire::Body::GrantAns: mend.take(from, *body.AsGrantAns(), now, learner.ring()); break;
+    case wire::Body::Deltas:
+    case wire::Body::TreeAsk:
+    case wire::Body::TreePage:
+      if (plan.role == Role::passage)
+        tide.take(from, body, now, [this](std::string const& model) { return bounds(model); }, tide_peers(), letters);
+      break;
+    default: break;
+  }
+  dispatch(letters, now, out);
+}
+
+void Node::spread(wire::ValueT const& value, std::uint64_t req, NodeOut& out) {
+  wire::ChosenT news;
+  news.req = req;
+  news.value = std::make_unique<wire::ValueT>(value);
+  std::string const bytes = encode(std::move(news));
+  for (std::pair<std::string const, Peer> const& item : mesh.roll.peers)
+    if (item.second.wire != 0) out.mesh.sends.push_back({item.second.wire, bytes});
+}
+
+// The value held here grew newer: it comes into force.
+void Node::after_value(Micros now, NodeOut& out) {
+  wire::ValueT const& value = *learner.value;
+  std::shared_ptr<Creed const> creed = std::make_shared<Creed>();
+  if (!value.text.empty()) {
+    Result<std::shared_ptr<Creed const>> made = read_creed(value.text);
+    if (!made) {
+      tell(Event::not_in_force, "serial " + std::to_string(value.serial) + " " + made.error().why);
+      creed = desk.creed();
+    } else {
+      creed = made.value();
+    }
+  }
+  desk.in_force(creed, std::set<std::string>(value.emptied.begin(), value.emptied.end()));
+  tell(Event::in_force, "serial " + std::to_string(value.serial));
+  mesh.roll.self.serial = value.serial;
+  mesh.retell(out.mesh);
+}
+
+void Node::opened(WireId id, bool outbound, std::string const& address, Micros now, NodeOut& out) {
+  watch_clock(now);
+  mesh.opened(id, outbound, address, now, out.mesh);
+}
+
+void Node::shut(WireId id, Micros now, NodeOut& out) {
+  watch_clock(now);
+  mesh.shut(id, now, out.mesh);
+}
+
+void Node::dial_failed(std::string const& address, bool refused, Micros now, NodeOut& out) {
+  watch_clock(now);
+  mesh.dial_failed(address, refused, now, out.mesh);
+  settle_waiting(now, out);
+}
+
+bool Node::bytes(WireId id, std::string_view bytes, Micros now, NodeOut& out) {
+  watch_clock(now);
+  Result<std::unique_ptr<wire::FrameT>> frame = decode(bytes);
+  if (!frame) {
+    tell(Event::wire_garbage, frame.error().why);
+    return false;
+  }
+  bool const greeting = frame.value()->body.type == wire::Body::Hello;
+  std::string const hello_name = greeting && frame.value()->body.AsHello()->self ? frame.value()->body.AsHello()->self->name : "";
+  std::string const from = mesh.frame(id, *frame.value(), now, out.mesh);
+  take_fresh(now);
+  if (greeting) {
+    // §5.5: a peer that comes with an older serial is told the chosen value at once.
+    std::map<std::string, Peer>::const_iterator const peer = mesh.roll.peers.find(hello_name);
+    if (peer != mesh.roll.peers.end() && peer->second.wire == id && learner.value && peer->second.member.serial < learner.serial()) {
+      wire::ChosenT news;
+      news.value = std::make_unique<wire::ValueT>(*learner.value);
+      mesh.post(hello_name, std::move(news), out.mesh);
+    }
+    return true;
+  }
+  if (!from.empty()) deliver(from, frame.value()->body, now, out);
+  return true;
+}
+
+void Node::take_fresh(Micros now) {
+  for (std::string const& key : mesh.fresh) {
+    std::map<std::string, wire::EntryT>::const_iterator const entry = mesh.ledger.all().find(key);
+    if (entry != mesh.ledger.all().end()) fleet.take_entry(entry->second, now);
+  }
+  mesh.fresh.clear();
+  for (std::string const& name : fleet.reborn) tide.forget(name);
+  fleet.reborn.clear();
+}
+
+void Node::disk_done(Micros now, NodeOut& out) {
+  std::vector<Letter> letters;
+  acceptor->synced(letters);
+  if (std::optional<wire::RecordT> save = acceptor->step(letters)) out.save = std::move(save);
+  dispatch(letters, now, out);
+}
+
+void Node::list(std::optional<std::vector<ListRow>> const& rows, Micros now, NodeOut& out) {
+  watch_clock(now);
+  list_flying = false;
+  if (!rows) {
+    // A failed reading is no departure.
+    if (!list_bad) tell(Event::list_failed, "");
+    list_bad = true;
+    return;
+  }
+  if (list_bad) tell(Event::list_back, "");
+  list_bad = false;
+  fleet.take_list(*rows, now);
+  // What this reading began before a jump of the clock says nothing about the time after it.
+  if (stale_from < 0 || list_flew >= stale_from) listed_at = list_flew;
+  take_fresh(now);
+  own_entries(now, out);
+  look_ready(now, out);
+  desk.work(now, out.desk);
+}
+
+void Node::vitals(Check const& check, std::optional<Vitals> const& report, bool refused, Micros now, NodeOut& out) {
+  watch_clock(now);
+  checking.erase(check.worker);
+  fleet.vitals(check.worker, check.life, report, refused, *desk.creed(), now);
+  take_fresh(now);
+  desk.work(now, out.desk);
+}
+
+void Node::own_entries(Micros now, NodeOut& out) {
+  if (plan.role != Role::passage || listed_at < 0 || now - listed_at > seconds(5) || leaving) return;
+  std::set<std::string> const names = passages(false);
+  std::set<std::string> mine;
+  for (std::pair<std::string const, Worker> const& item : fleet.workers)
+    if (rendezvous(item.first, names) == plan.name) mine.insert(item.first);
+  bool any = false;
+  for (wire::EntryT& entry : fleet.entries_for(mine)) any = mesh.ledger.put(std::move(entry), now) || any;
+  if (any) mesh.flush_entries(out.mesh);
+}
+
+void Node::look_ready(Micros now, NodeOut& out) {
+  // What must be known: a majority's word on the register, and the list; both after the last jump.
+  Micros const from = stale_from >= 0 ? stale_from : born;
+  bool sure = learner.sure >= from;
+  bool const listed = plan.role == Role::accord || listed_at >= from;
+  if (!sure && now - from > fresh_bound) {
+    // §6.7: no majority answers. A node that was serving goes on; a new one may take the word of one that serves.
+    if (able) sure = true;
+    for (std::pair<std::string const, Peer> const& item : mesh.roll.peers) {
+      Peer const& peer = item.second;
+      if (peer.wire != 0 && peer.state() == State::alive && peer.role() == Role::passage && peer.member.ready && learner.value &&
+          learner.serial() >= peer.member.serial)
+        sure = true;
+    }
+  }
+  if (!sure || !(listed || (able && now - from > fresh_bound))) return;
+  if (stale_from >= 0) {
+    stale_from = -1;
+    desk.hold(false);
+    desk.work(now, out.desk);
+  }
+  if (!able) {
+    able = true;
+    desk.ready(true);
+    mesh.roll.self.ready = true;
+    mesh.retell(out.mesh);
+  }
+}
+
+void Node::operate(std::uint64_t id, Change change, Micros now, NodeOut& out) {
+  watch_clock(now);
+  if (change.id.empty()) change.id = plan.name + "-" + std::to_string(plan.incarnation) + "-" + std::to_string(++change_count);
+  Change const kept = change;
+  bool const taken = proposer.ask(std::move(change), [this, id, kept](Outcome const& outcome) { ended.push_back({id, kept, outcome}); }, now);
+  if (!taken) {
+    Reply reply;
+    reply.id = id;
+    reply.change = kept.id;
+    reply.outcome.sort = Outcome::Sort::refused;
+    reply.outcome.fault.kind = Kind::too_many_changes;
+    out.replies.push_back(std::move(reply));
+    return;
+  }
+  std::vector<Letter> letters;
+  proposer.tick(now, letters);
+  dispatch(letters, now, out);
+  settle_ended(now, out);
+}
+
+void Node::settle_ended(Micros now, NodeOut& out) {
+  while (!ended.empty()) {
+    Ended const item = std::move(ended.front());
+    ended.erase(ended.begin());
+    settle(item.id, item.change, item.outcome, now, out);
+  }
+}
+
+void Node::settle(std::uint64_t id, Change const& change, Outcome const& outcome, Micros now, NodeOut& out) {
+  Reply reply;
+  reply.id = id;
+  reply.change = change.id;
+  reply.outcome = outcome;
+  bool const holds = outcome.sort == Outcome::Sort::chosen || outcome.sort == Outcome::Sort::kept;
+  std::uint64_t const req = ++next_req;
+  if (holds) {
+    tell(Event::chosen, "serial " + std::to_string(outcome.value.serial) + " change " + outcome.value.change);
+    bool const fresh = learner.adopt(outcome.value, now);
+    if (fresh) after_value(now, out);
+    if (fresh || change.sort == Change::Sort::empty) spread(outcome.value, req, out);
+    look_ready(now, out);
+  } else {
+    tell(outcome.sort == Outcome::Sort::unknown ? Event::change_lost : Event::change_refused, change.id + " " + kind_row(outcome.fault.kind).name);
+    if (outcome.value.serial > 0 && learner.adopt(outcome.value, now)) after_value(now, out);
+  }
+  if (id == 0) {
+    duty_busy = false;
+    return;
+  }
+  if (change.sort == Change::Sort::empty && holds) {
+    Waiting wait;
+    wait.serial = outcome.value.serial;
+    wait.due = now + confirm_bound;
+    for (std::string const& name : mesh.perhaps_live())
+      if (mesh.roll.peers.at(name).role() == Role::passage) wait.owe.insert(name);
+    wait.reply = std::move(reply);
+    waiting.emplace(req, std::move(wait));
+    settle_waiting(now, out);
+    return;
+  }
+  out.replies.push_back(std::move(reply));
+}
+
+void Node::settle_waiting(Micros now, NodeOut& out) {
+  for (std::map<std::uint64_t, Waiting>::iterator it = waiting.begin(); it != waiting.end();) {
+    Waiting& item = it->second;
+    std::vector<std::string> const live = mesh.perhaps_live();
+    std::set<std::string> owe;
+    for (std::string const& name : live)
+      if (item.owe.count(name)) owe.insert(name);
+    if (!owe.empty() && now < item.due) {
+      ++it;
+      continue;
+    }
+    item.reply.missing.assign(owe.begin(), owe.end());
+    out.replies.push_back(std::move(item.reply));
+    it = waiting.erase(it);
+  }
+}
+
+bool Node::zone_known(std::string const& zone) const {
+  if (zone == plan.zone) return true;
+  for (std::pair<std::string const, Peer> const& item : mesh.roll.peers)
+    if (item.second.member.zone == zone) return true;
+  for (std::pair<std::string const, wire::EntryT> const& item : mesh.ledger.all())
+    if (item.second.zone == zone) return true;
+  for (std::pair<std::string const, Worker> const& item : fleet.workers)
+    if (item.second.row.zone == zone) return true;
+  return learner.value && std::count(learner.value->emptied.begin(), learner.value->emptied.end(), zone) > 0;
+}
+
+void Node::found(Micros now, std::vector<Letter>& letters) {
+  if (!acceptor || acceptor->held().formed) return;
+  std::uint64_t const disk = acceptor->held().disk;
+  if (learner.ring().epoch == 1 && learner.ring().holds(plan.name, disk)) {
+    wire::FoundT news;
+    for (wire::KeeperT const& item : learner.ring().keepers) news.keepers.push_back(std::make_unique<wire::KeeperT>(item));
+    letters.push_back(letter(plan.name, std::move(news)));
+    return;
+  }
+  if (plan.founders.empty() || *std::min_element(plan.founders.begin(), plan.founders.end()) != plan.name) return;
+  // §5.4: the first set is written only while every founder answers and every one of them is blank.
+  wire::FoundT news;
+  for (std::string const& name : plan.founders) {
+    std::map<std::string, Learner::Sight>::const_iterator const sight = learner.sights.find(name);
+    if (sight == learner.sights.end() || sight->second.formed || now - sight->second.at > seconds(2)) return;
+    std::unique_ptr<wire::KeeperT> keeper = std::make_unique<wire::KeeperT>();
+    keeper->name = name;
+    keeper->disk = sight->second.disk;
+    if (name == plan.name) keeper->address = plan.address;
+    else if (mesh.roll.peers.count(name)) keeper->address = mesh.roll.peers.at(name).member.address;
+    news.keepers.push_back(std::move(keeper));
+  }
+  tell(Event::founded, std::to_string(news.keepers.size()) + " keepers");
+  for (std::string const& name : plan.founders) letters.push_back(letter(name, wire::FoundT(news)));
+}
+
+void Node::duties(Micros now, NodeOut& out) {
+  if (!acceptor || !acceptor->held().formed) return;
+  std::vector<Letter> letters;
+  if (!leaving) mend.tick(now, learner.ring(), letters);
+  dispatch(letters, now, out);
+  bool const holds = mend.holds(now);
+  if (holds != had_duty) tell(holds ? Event::grant_held : Event::grant_ended, "mend");
+  had_duty = holds;
+  if (!holds || duty_busy) return;
+  Ring const& ring = learner.ring();
+  Change change;
+  change.expected = ring.epoch;
+  // §5.8: a keeper that is lost, or came back blank, gives its place to one that is here; one step at a time.
+  wire::KeeperT spare;
+  wire::KeeperT lost;
+  for (std::pair<std::string const, Learner::Sight> const& item : learner.sights)
+    if (now - item.second.at < seconds(2) && !ring.holds(item.first, item.second.disk)) {
+      spare.name = item.first;
+      spare.disk = item.second.disk;
+      if (mesh.roll.peers.count(item.first)) spare.address = mesh.roll.peers.at(item.first).member.address;
+    }
+  for (wire::KeeperT const& keeper : ring.keepers) {
+    std::map<std::string, Learner::Sight>::const_iterator const sight = learner.sights.find(keeper.name);
+    bool const here = sight != learner.sights.end() && sight->second.disk == keeper.disk && now - sight->second.at < keeper_lost;
+    if (!here && now - born > keeper_lost) lost = keeper;
+  }
+  std::size_t const target = std::max<std::size_t>(1, plan.founders.size());
+  if (!spare.name.empty() && ring.keepers.size() < target) {
+    change.sort = Change::Sort::admit;
+    change.keeper = spare;
+  } else if (!spare.name.empty() && !lost.name.empty()) {
+    change.sort = Change::Sort::dismiss;
+    change.keeper = lost;
+  } else if (learner.split) {
+    change.sort = Change::Sort::read;
+  } else {
+    return;
+  }
+  tell(change.sort == Change::Sort::read ? Event::copies_mended : Event::keeper_swapped, change.keeper.name);
+  duty_busy = true;
+  operate(0, std::move(change), now, out);
+}
+
+void Node::tick(Micros now, NodeOut& out) {
+  watch_clock(now);
+  mesh.tick(now, out.mesh);
+  take_fresh(now);
+  std::vector<Letter> letters;
+  if (now >= next_poll) {
+    next_poll = now + poll_gap;
+    learner.poll(now, keepers(), letters);
+    found(now, letters);
+  }
+  proposer.know(learner.ring());
+  proposer.tick(now, letters);
+  settle_ended(now, out);
+  if (plan.role == Role::passage) {
+    if (now >= next_round) {
+      next_round = now + seconds(1);
+      std::vector<std::pair<std::string, std::vector<std::string>>> peers;
+      for (std::string const& name : tide_peers()) peers.emplace_back(name, mesh.roll.peers.at(name).member.models);
+      tide.round(now, peers, [this](std::string const& model) { return bounds(model); }, letters);
+      own_entries(now, out);
+    }
+    tide.tick(now, tide_peers(), letters);
+    if (now >= next_reconcile) {
+      next_reconcile = now + seconds(30);
+      fleet.reconcile(mesh.ledger.all(), now);
+    }
+    if (list_flying && now - list_flew > seconds(3)) list_flying = false;
+    if (now >= next_list && !list_flying) {
+      next_list = now + list_gap;
+      list_flying = true;
+      list_flew = now;
+      out.read_list = true;
+    }
+    for (std::pair<std::string const, Worker> const& item : fleet.workers) {
+      Worker const& worker = item.second;
+      if (worker.standing == Standing::gone || checking.count(item.first)) continue;
+      Micros& due = check_due[item.first];
+      if (now < due) continue;
+      due = now + check_gap;
+      checking.insert(item.first);
+      out.checks.push_back(Check{item.first, worker.row.address, worker.row.incarnation});
+    }
+    // §6.6: the share of a cold worker's bound counts every node that is known, DOWN ones too, so that a cut never raises the sum.
+    desk.nodes(passages(true));
+    look_ready(now, out);
+    desk.work(now, out.desk);
+  } else {
+    look_ready(now, out);
+  }
+  dispatch(letters, now, out);
+  duties(now, out);
+  settle_waiting(now, out);
+}
+
+void Node::errand(std::uint64_t id, Ask ask, Micros now, NodeOut& out) {
+  watch_clock(now);
+  ask.facts.zone = plan.zone;
+  desk.fresh(id, std::move(ask), now, out.desk);
+}
+
+void Node::leg_ended(std::uint64_t id, LegEnd end, std::string const& why, Micros back, Micros now, NodeOut& out) {
+  watch_clock(now);
+  desk.ended(id, end, why, back, now, out.desk);
+  desk.work(now, out.desk);
+}
+
+void Node::hung_up(std::uint64_t id, Micros now, NodeOut& out) {
+  watch_clock(now);
+  desk.hung_up(id, now, out.desk);
+  desk.work(now, out.desk);
+}
+
+void Node::drain(Micros now, NodeOut& out) {
+  if (leaving) return;
+  leaving = true;
+  desk.drain();
+  mesh.roll.self.ready = false;
+  mesh.leave(out.mesh);
+  tell(Event::drain_began, "");
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/core/node.h
@@ -0,0 +1,153 @@
+// One node without its I/O: the planes put together. Programs and the simulator drive the same code (§2.2).
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "canon/grant/grants.h"
+#include "canon/register/learner.h"
+#include "flow/errand/desk.h"
+#include "kin/mesh.h"
+
+namespace pipit {
+
+struct NodePlan {
+  std::string cluster = "pipit";
+  std::string name;
+  std::string zone;
+  std::string address;  // of the mesh
+  std::string http;
+  Role role = Role::passage;
+  std::vector<std::string> seeds;
+  std::vector<std::string> models;    // those that a passage serves; none means all
+  std::vector<std::string> founders;  // names of the first keepers
+  std::uint64_t incarnation = 1;
+  std::uint64_t chance = 1;
+};
+
+// What an operator asked, answered.
+struct Reply {
+  std::uint64_t id = 0;
+  Outcome outcome;
+  std::vector<std::string> missing;  // nodes that have not confirmed, of an 'empty'
+  std::string change;
+};
+
+struct Check {
+  std::string worker;
+  std::string address;
+  std::uint64_t life = 0;
+};
+
+struct NodeOut {
+  Sends mesh;
+  std::optional<wire::RecordT> save;
+  std::vector<Reply> replies;
+  DeskOut desk;
+  bool read_list = false;
+  std::vector<Check> checks;
+};
+
+class Node {
+ public:
+  Node(NodePlan plan_, Micros now, std::optional<wire::RecordT> slate);
+
+  void tick(Micros now, NodeOut& out);
+  // A node that was stopped for a while learns it here, before anything else it does (§6.7).
+  void watch_clock(Micros now);
+
+  void opened(WireId id, bool outbound, std::string const& address, Micros now, NodeOut& out);
+  void shut(WireId id, Micros now, NodeOut& out);
+  void dial_failed(std::string const& address, bool refused, Micros now, NodeOut& out);
+  // False when the frame was no frame: the shell then shuts the wire.
+  bool bytes(WireId id, std::string_view frame, Micros now, NodeOut& out);
+
+  void disk_done(Micros now, NodeOut& out);
+  void list(std::optional<std::vector<ListRow>> const& rows, Micros now, NodeOut& out);
+  void vitals(Check const& check, std::optional<Vitals> const& report, bool refused, Micros now, NodeOut& out);
+
+  // Operators. The description was checked by the caller of operate().
+  void operate(std::uint64_t id, Change change, Micros now, NodeOut& out);
+  bool zone_known(std::string const& zone) const;
+
+  // Errands.
+  void errand(std::uint64_t id, Ask ask, Micros now, NodeOut& out);
+  void leg_sent(std::uint64_t id) { desk.sent(id); }
+  void leg_began(std::uint64_t id) { desk.began(id); }
+  void leg_ended(std::uint64_t id, LegEnd end, std::string const& why, Micros back, Micros now, NodeOut& out);
+  void hung_up(std::uint64_t id, Micros now, NodeOut& out);
+
+  void drain(Micros now, NodeOut& out);
+  bool ready() const { return able; }
+  bool draining() const { return leaving; }
+  std::size_t under_way() const { return desk.under_way(); }
+
+  NodePlan const plan;
+  Mesh mesh;
+  Proposer proposer;
+  Learner learner;
+  std::optional<Acceptor> acceptor;
+  Tide tide;
+  Fleet fleet;
+  Desk desk;
+  std::uint64_t jumps = 0;
+
+ private:
+  struct Waiting {  // an 'empty' that waits for confirmations
+    Reply reply;
+    std::set<std::string> owe;
+    std::uint64_t serial = 0;
+    Micros due = 0;
+  };
+  void deliver(std::string const& from, wire::BodyUnion& body, Micros now, NodeOut& out);
+  void dispatch(std::vector<Letter>& letters, Micros now, NodeOut& out);
+  void after_value(Micros now, NodeOut& out);
+  void spread(wire::ValueT const& value, std::uint64_t req, NodeOut& out);
+  void settle(std::uint64_t id, Change const& change, Outcome const& outcome, Micros now, NodeOut& out);
+  void settle_ended(Micros now, NodeOut& out);
+  void settle_waiting(Micros now, NodeOut& out);
+  void look_ready(Micros now, NodeOut& out);
+  void own_entries(Micros now, NodeOut& out);
+  void duties(Micros now, NodeOut& out);
+  void found(Micros now, std::vector<Letter>& letters);
+  void take_fresh(Micros now);
+  std::vector<std::string> keepers() const;
+  std::vector<std::string> tide_peers() const;
+  std::set<std::string> passages(bool all) const;
+  Index::Bounds bounds(std::string const& model) const;
+
+  Granter granter;
+  Holder mend;
+  Micros born;
+  Micros last_tick;
+  Micros next_poll = 0;
+  Micros next_list = 0;
+  Micros next_round = 0;
+  Micros next_reconcile = 0;
+  bool list_flying = false;
+  Micros list_flew = 0;
+  Micros listed_at = -1;
+  bool list_bad = false;
+  std::set<std::string> checking;
+  std::map<std::string, Micros> check_due;
+  bool able = false;
+  bool leaving = false;
+  Micros stale_from = -1;  // since when a jump of the clock waits for fresh knowledge
+  std::uint64_t change_count = 0;
+  std::uint64_t next_req = 1;
+  std::map<std::uint64_t, Waiting> waiting;
+  bool duty_busy = false;
+  bool had_duty = false;
+  struct Ended {
+    std::uint64_t id;
+    Change change;
+    Outcome outcome;
+  };
+  std::vector<Ended> ended;
+};
+
+}  // namespace pipit
--- /dev/null
+++ b/src/flow/errand/desk.cc
@@ -0,0 +1,292 @@
+#include "flow/errand/desk.h"
+
+#include <algorithm>
+
+#include "ground/events.h"
+
+namespace pipit {
+
+namespace {
+// §7.4: each first send earns this much of a re-send; with a small store besides. The sum over all nodes
+// therefore holds with no talk between them.
+constexpr double bucket_share = 0.18;
+constexpr double bucket_most = 2.0;
+}  // namespace
+
+void Desk::in_force(std::shared_ptr<Creed const> creed_, std::set<std::string> emptied_) {
+  rules = std::move(creed_);
+  shut = std::move(emptied_);
+}
+
+Micros Desk::service(Pool const& pool) const {
+  std::map<std::string, double>::const_iterator const seen = service_seen.find(pool.name);
+  return seen == service_seen.end() ? pool.service : static_cast<Micros>(seen->second);
+}
+
+void Desk::give_up(Errand& errand, Fault fault, Micros wait, DeskOut& out) {
+  ++tally.refused;
+  KindRow const& row = kind_row(fault.kind);
+  Ran const ran = errand.legs == 0 ? row.ran : errand.ran;
+  if (wait == 0) wait = row.wait;
+  if (ran == Ran::no && wait == 0 && row.status >= 429) wait = millis(1000);
+  out.ends.push_back(Verdict{errand.id, std::move(fault), ran, wait});
+  erase(errand);
+}
+
+void Desk::erase(Errand& errand) {
+  if (errand.is_linked()) {
+    backlog.erase(backlog.iterator_to(errand));
+    --lane_waiting[errand.lane->name];
+  }
+  errands.erase(errand.id);
+}
+
+void Desk::fresh(std::uint64_t id, Ask ask, Micros now, DeskOut& out) {
+  ++tally.asked;
+  std::unique_ptr<Errand> made = std::make_unique<Errand>();
+  Errand& errand = *made;
+  errand.id = id;
+  errand.ask = std::move(ask);
+  errand.rules = rules;
+  errand.came = now;
+  errands.emplace(id, std::move(made));
+  if (draining) return give_up(errand, Fault{Kind::draining, "", ""}, 0, out);
+  if (!open) return give_up(errand, Fault{Kind::not_ready, "", ""}, 0, out);
+  Facts const& facts = errand.ask.facts;
+  bool model_known = false;
+  for (Pool const& pool : rules->pools) model_known = model_known || pool.model == facts.model;
+  if (!model_known) return give_up(errand, Fault{Kind::unknown_model, "no pool serves the model '" + facts.model + "'", ""}, 0, out);
+  if (!errand.ask.lane.empty()) {
+    errand.lane = rules->lane(errand.ask.lane);
+    if (errand.lane == nullptr) return give_up(errand, Fault{Kind::unknown_lane, "there is no lane '" + errand.ask.lane + "'", ""}, 0, out);
+    if (!errand.lane->binding.match.holds(facts, 0))
+      return give_up(errand, Fault{Kind::unknown_lane, "the lane '" + errand.ask.lane + "' does not take this request", ""}, 0, out);
+  } else {
+    for (Lane const& lane : rules->lanes)
+      if (errand.lane == nullptr && lane.binding.match.holds(facts, 0)) errand.lane = &lane;
+    if (errand.lane == nullptr) return give_up(errand, Fault{Kind::unknown_lane, "no lane takes this request", ""}, 0, out);
+  }
+  errand.model = rules->pool(errand.lane->binding.pools.front().pool)->model;
+  if (errand.model != facts.model)
+    return give_up(errand, Fault{Kind::unknown_model, "the lane does not serve the model '" + facts.model + "'", ""}, 0, out);
+  errand.safe = errand.lane->policy.safe || errand.ask.safe;
+  errand.due = now + errand.lane->policy.wait;
+  std::size_t ahead = 0;
+  for (Errand const& other : backlog) {
+    if (!(other < errand)) break;
+    ++ahead;
+  }
+  Choice choice = held ? Choice{Say::wait, nullptr, 0, 0, Kind::not_ready} : select(errand, ahead, now);
+  if (choice.say == Say::go && ahead == 0) return go(errand, choice, now, out);
+  if (choice.say == Say::never) return give_up(errand, Fault{choice.kind, "", ""}, choice.wait, out);
+  if (choice.say == Say::wait && now + choice.wait > errand.due)
+    return give_up(errand, Fault{Kind::crowded, "", ""}, std::clamp<Micros>(choice.wait, millis(500), seconds(10)), out);
+  std::int64_t& count = lane_waiting[errand.lane->name];
+  if (count >= errand.lane->policy.backlog) return give_up(errand, Fault{Kind::backlog_full, "", ""}, std::clamp<Micros>(choice.wait, millis(500), seconds(10)), out);
+  ++count;
+  backlog.insert(errand);
+  // Nobody overtakes those who wait already: what is free goes out in the backlog's order.
+  if (choice.say == Say::go) work(now, out);
+}
+
+Desk::Choice Desk::select(Errand const& errand, std::size_t ahead, Micros now) {
+  Choice best;
+  Micros least = 0;
+  Micros soonest = -1;
+  bool cold_only = false;
+  std::map<std::string, std::size_t> const hits = tide.index(errand.model).match(errand.ask.path);
+  for (Binding::Choice const& way : errand.lane->binding.pools) {
+    Pool const* const pool = errand.rules->pool(way.pool);
+    std::int64_t slots = 0;
+    std::int64_t busy = 0;
+    std::vector<Worker*> field;
+    for (std::pair<std::string const, Worker>& item : fleet.workers) {
+      Worker& worker = item.second;
+      if (worker.row.pool != pool->name || !worker.takes() || shut.count(worker.row.zone)) continue;
+      if (errand.lane->policy.locality == Locality::only && worker.row.zone != zone) continue;
+      slots += worker.row.slots > 0 ? worker.row.slots : pool->slots;
+      busy += worker.guess();
+      if (!errand.tried.count(item.first)) field.push_back(&worker);
+    }
+    if (slots == 0 || !way.when.holds(errand.ask.facts, busy * 100 / slots)) continue;
+    Micros const hold = service(*pool);
+    for (Worker* const worker : field) {
+      std::int64_t const room = worker->row.slots > 0 ? worker->row.slots : pool->slots;
+      std::int64_t const load = worker->guess();
+      if (load >= room) {
+        std::int64_t const nodes = static_cast<std::int64_t>(std::max<std::size_t>(1, names.size()));
+        Micros const wait = hold * static_cast<Micros>(ahead + 1) * nodes / std::max<std::int64_t>(1, slots);
+        if (soonest < 0 || wait < soonest) soonest = wait;
+        continue;
+      }
+      if (fleet.cold(*worker, now) && !fleet.cold_room(*worker, pool->cold, self, names, now)) {
+        cold_only = true;
+        continue;
+      }
+      std::map<std::string, std::size_t>::const_iterator const hit = hits.find(worker->row.id);
+      std::size_t const have = hit == hits.end() ? 0 : hit->second;
+      // §6.4: what is missing of the prefix, what runs already, and the way there.
+      Micros cost = static_cast<Micros>(errand.ask.path.size() - have) * pool->block_cost;
+      cost += hold * load / room / 10;
+      if (worker->row.zone != zone && errand.lane->policy.locality != Locality::any) cost += errand.rules->locality_cost;
+      if (best.worker == nullptr || cost < least) {
+        best.worker = worker;
+        best.hit = have;
+        least = cost;
+      }
+    }
+    if (best.worker != nullptr) {
+      best.say = Say::go;
+      best.wait = least;
+      return best;
+    }
+  }
+  if (soonest >= 0 || cold_only) {
+    best.say = Say::wait;
+    best.wait = soonest >= 0 ? soonest : millis(200);
+    return best;
+  }
+  best.kind = errand.tried.empty() ? Kind::no_worker : Kind::worker_unreached;
+  return best;
+}
+
+void Desk::go(Errand& errand, Choice const& choice, Micros now, DeskOut& out) {
+  if (errand.is_linked()) {
+    backlog.erase(backlog.iterator_to(errand));
+    --lane_waiting[errand.lane->name];
+  }
+  Worker& worker = *choice.worker;
+  Pool const& pool = *errand.rules->pool(worker.row.pool);
+  bool const first = errand.legs == 0;
+  ++errand.legs;
+  errand.left = false;
+  errand.worker = worker.row.id;
+  errand.pool = pool.name;
+  errand.leg_from = now;
+  errand.tried.insert(worker.row.id);
+  if (first) {
+    ++tally.first_sends;
+    bucket = std::min(bucket_most, bucket + bucket_share);
+    tally.blocks_asked += errand.ask.path.size();
+    tally.blocks_hit += choice.hit;
+  } else {
+    ++tally.resends;
+    bucket -= 1.0;
+    tell(Event::leg_resent, errand.worker);
+  }
+  if (worker.row.zone != zone) ++tally.far_sends;
+  worker.legs.insert(now);
+  if (fleet.cold(worker, now)) worker.sends.push_back(now);
+  Index::Bounds const bounds{static_cast<std::size_t>(pool.cache_blocks), pool.cache_age};
+  tide.queue(errand.model, tide.index(errand.model).touch(errand.ask.path, worker.row.id, worker.row.incarnation, bounds, now));
+  out.starts.push_back(Start{errand.id, errand.legs, worker.row.id, worker.row.address, errand.lane->policy.answer, errand.lane->policy.stall});
+}
+
+void Desk::sent(std::uint64_t id) {
+  std::map<std::uint64_t, std::unique_ptr<Errand>>::iterator const spot = errands.find(id);
+  if (spot != errands.end()) spot->second->left = true;
+}
+
+void Desk::began(std::uint64_t id) {
+  std::map<std::uint64_t, std::unique_ptr<Errand>>::iterator const spot = errands.find(id);
+  if (spot != errands.end()) spot->second->begun = true;
+}
+
+void Desk::release(Errand& errand, Micros now, bool good) {
+  Worker* const worker = fleet.find(errand.worker);
+  if (worker != nullptr) {
+    std::multiset<Micros>::iterator const leg = worker->legs.find(errand.leg_from);
+    if (leg != worker->legs.end()) {
+      // What it held is free again, though the next report may still count it.
+      if (errand.leg_from < worker->reported && worker->demand > 0) --worker->demand;
+      worker->legs.erase(leg);
+    }
+  }
+  if (good) {
+    double& seen = service_seen.try_emplace(errand.pool, static_cast<double>(errand.rules->pool(errand.pool)->service)).first->second;
+    seen = seen * 0.95 + static_cast<double>(now - errand.leg_from) * 0.05;
+  }
+}
+
+void Desk::ended(std::uint64_t id, LegEnd end, std::string const& why, Micros back, Micros now, DeskOut& out) {
+  std::map<std::uint64_t, std::unique_ptr<Errand>>::iterator const spot = errands.find(id);
+  if (spot == errands.end()) return;
+  Errand& errand = *spot->second;
+  release(errand, now, end == LegEnd::done);
+  if (end == LegEnd::done) {
+    ++tally.done;
+    erase(errand);
+    return;
+  }
+  // §7.3: what is known of whether this leg ran.
+  Ran ran = Ran::unknown;
+  Kind kind = Kind::worker_failed;
+  switch (end) {
+    case LegEnd::unreached: ran = Ran::no; kind = Kind::worker_unreached; break;
+    case LegEnd::refused: ran = Ran::no; kind = Kind::worker_refused; break;
+    case LegEnd::failed: kind = Kind::worker_failed; break;
+    case LegEnd::broke: kind = Kind::worker_broke; break;
+    case LegEnd::silent: kind = Kind::worker_silent; break;
+    case LegEnd::wrong: kind = Kind::worker_wrong; break;
+    case LegEnd::torn: ran = Ran::yes; kind = Kind::answer_torn; break;
+    case LegEnd::done: break;
+  }
+  if (end == LegEnd::unreached && errand.left) {  // the executor cannot be sure after all
+    ran = Ran::unknown;
+    kind = Kind::worker_broke;
+  }
+  errand.ran = std::max(errand.ran, ran);
+  tell(Event::leg_failed, errand.worker + " " + kind_row(kind).name + " " + why);
+  bool const may_repeat = errand.safe || !errand.left;
+  bool const again = !errand.begun && may_repeat && !draining && errand.legs < errand.lane->policy.tries && now < errand.due + errand.lane->policy.answer && bucket >= 1.0;
+  if (again) {
+    Choice const choice = select(errand, 0, now);
+    if (choice.say == Say::go) return go(errand, choice, now, out);
+  }
+  if (errand.begun) ++tally.broken;
+  Fault fault{kind, why, ""};
+  give_up(errand, std::move(fault), back, out);
+}
+
+void Desk::hung_up(std::uint64_t id, Micros now, DeskOut& out) {
+  std::map<std::uint64_t, std::unique_ptr<Errand>>::iterator const spot = errands.find(id);
+  if (spot == errands.end()) return;
+  ++tally.hangups;
+  Errand& errand = *spot->second;
+  if (errand.legs > 0) {
+    release(errand, now, false);
+    out.drops.push_back(id);
+  }
+  erase(errand);
+}
+
+void Desk::work(Micros now, DeskOut& out) {
+  std::size_t ahead = 0;
+  int idle = 0;
+  for (Backlog::iterator it = backlog.begin(); it != backlog.end();) {
+    Errand& errand = *it++;
+    if (now >= errand.due) {
+      ++tally.late;
+      give_up(errand, Fault{held ? Kind::not_ready : Kind::expired, "", ""}, 0, out);
+      continue;
+    }
+    if (held || idle >= 64) {
+      ++ahead;
+      continue;
+    }
+    Choice const choice = select(errand, ahead, now);
+    if (choice.say == Say::go) {
+      go(errand, choice, now, out);
+      continue;
+    }
+    ++idle;
+    ++ahead;
+    // §6.5: what has become hopeless is answered now, not when its time is up.
+    if (choice.say == Say::never)
+      give_up(errand, Fault{choice.kind, "", ""}, choice.wait, out);
+    else if (now + choice.wait > errand.due)
+      give_up(errand, Fault{Kind::crowded, "", ""}, std::clamp<Micros>(choice.wait, millis(500), seconds(10)), out);
+  }
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/flow/errand/desk.h
@@ -0,0 +1,144 @@
+// The desk: every request in this node, from its arrival to its answer. It decides; an executor obeys (§7).
+#pragma once
+#include <boost/intrusive/set.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "canon/creed/creed.h"
+#include "flow/fleet/fleet.h"
+#include "flow/index/tide.h"
+#include "ground/kinds.h"
+
+namespace pipit {
+
+// How a leg ended.
+enum class LegEnd : std::uint8_t {
+  done,       // the whole answer came
+  unreached,  // no wire could be opened; nothing was sent
+  refused,    // the worker said that it did not run it (429, or 503 with a time to come back)
+  failed,     // the worker answered with a failure
+  broke,      // the wire broke before the answer began
+  silent,     // the answer did not begin in time
+  wrong,      // the answer began but is not one to this request
+  torn,       // the answer began and ended before its end
+};
+
+struct Ask {
+  std::string lane;  // as named by the caller, or empty
+  Facts facts;
+  Path path;
+  bool safe = false;  // the caller says that it may be repeated
+};
+
+struct Start {
+  std::uint64_t errand = 0;
+  int leg = 0;
+  std::string worker;
+  std::string address;
+  Micros answer = 0;  // how long the first byte may take
+  Micros stall = 0;   // how long the next one may
+};
+struct Verdict {  // the end of an errand that is not a success
+  std::uint64_t errand = 0;
+  Fault fault;
+  Ran ran = Ran::no;
+  Micros wait = 0;
+};
+struct DeskOut {
+  std::vector<Start> starts;
+  std::vector<Verdict> ends;
+  std::vector<std::uint64_t> drops;  // legs to cut because their caller has gone
+};
+
+struct Tally {
+  std::uint64_t asked = 0, first_sends = 0, resends = 0, done = 0, refused = 0, broken = 0, hangups = 0;
+  std::uint64_t blocks_asked = 0, blocks_hit = 0, far_sends = 0, late = 0;
+};
+
+class Desk {
+ public:
+  Desk(std::string self_, std::string zone_, Tide& tide_, Fleet& fleet_)
+      : self(std::move(self_)), zone(std::move(zone_)), tide(tide_), fleet(fleet_) {}
+  ~Desk() { backlog.clear(); }
+
+  void in_force(std::shared_ptr<Creed const> creed_, std::set<std::string> emptied_);
+  // Placing stops while the node does not know enough: at its start, and after its clock jumped.
+  void hold(bool held_) { held = held_; }
+  void ready(bool ready_) { open = ready_; }
+  void drain() { draining = true; }
+  void nodes(std::set<std::string> names_) { names = std::move(names_); }
+
+  void fresh(std::uint64_t id, Ask ask, Micros now, DeskOut& out);
+  void sent(std::uint64_t id);                     // a byte may have left
+  void began(std::uint64_t id);                    // a byte was forwarded to the caller
+  void ended(std::uint64_t id, LegEnd end, std::string const& why, Micros back, Micros now, DeskOut& out);
+  void hung_up(std::uint64_t id, Micros now, DeskOut& out);
+  void work(Micros now, DeskOut& out);  // looks through the backlog
+
+  std::size_t under_way() const { return errands.size(); }
+  std::size_t waiting() const { return backlog.size(); }
+  std::shared_ptr<Creed const> const& creed() const { return rules; }
+  std::set<std::string> const& emptied() const { return shut; }
+  Tally tally;
+
+ private:
+  struct Errand : boost::intrusive::set_base_hook<> {
+    std::uint64_t id = 0;
+    Ask ask;
+    std::shared_ptr<Creed const> rules;  // keeps the lane alive
+    Lane const* lane = nullptr;
+    std::string model;
+    Micros came = 0;
+    Micros due = 0;  // when the lane's wait ends
+    bool safe = false;
+    int legs = 0;
+    Ran ran = Ran::no;
+    bool left = false;   // a byte of this leg may have left
+    bool begun = false;
+    std::string worker;
+    std::string pool;
+    Micros leg_from = 0;
+    std::set<std::string> tried;
+    friend bool operator<(Errand const& a, Errand const& b) {
+      if (a.lane->policy.urgency != b.lane->policy.urgency) return a.lane->policy.urgency > b.lane->policy.urgency;
+      return a.due != b.due ? a.due < b.due : a.id < b.id;
+    }
+  };
+  using Backlog = boost::intrusive::set<Errand>;
+
+  enum class Say : std::uint8_t { go, wait, never };
+  struct Choice {
+    Say say = Say::never;
+    Worker* worker = nullptr;
+    std::size_t hit = 0;
+    Micros wait = 0;
+    Kind kind = Kind::no_worker;
+  };
+  Choice select(Errand const& errand, std::size_t ahead, Micros now);
+  void go(Errand& errand, Choice const& choice, Micros now, DeskOut& out);
+  void give_up(Errand& errand, Fault fault, Micros wait, DeskOut& out);
+  void erase(Errand& errand);
+  void release(Errand& errand, Micros now, bool good);
+  Micros service(Pool const& pool) const;
+
+  std::string const self;
+  std::string const zone;
+  Tide& tide;
+  Fleet& fleet;
+  std::shared_ptr<Creed const> rules = std::make_shared<Creed>();
+  std::set<std::string> shut;
+  std::set<std::string> names;
+  bool held = false;
+  bool open = false;
+  bool draining = false;
+  double bucket = 1.0;
+  std::map<std::uint64_t, std::unique_ptr<Errand>> errands;
+  Backlog backlog;
+  std::map<std::string, std::int64_t> lane_waiting;
+  std::map<std::string, double> service_seen;
+};
+
+}  // namespace pipit
--- /dev/null
+++ b/src/flow/errand/parse.cc
@@ -0,0 +1,74 @@
+#include "flow/errand/parse.h"
+
+#include <simdjson.h>
+
+namespace pipit {
+
+namespace {
+bool add_content(simdjson::dom::element const& content, std::string& prompt) {
+  std::string_view text;
+  if (!content.get_string().get(text)) {
+    prompt += text;
+    return true;
+  }
+  simdjson::dom::array parts;
+  if (content.get_array().get(parts)) return content.is_null();
+  for (simdjson::dom::element const& part : parts)
+    if (!part["text"].get_string().get(text)) prompt += text;
+  return true;
+}
+}  // namespace
+
+Result<Ask> parse_ask(std::string_view body, Form form) {
+  simdjson::dom::parser parser;
+  simdjson::dom::element root;
+  simdjson::error_code const code = parser.parse(simdjson::padded_string(body)).get(root);
+  if (code) return fail(Kind::bad_json, simdjson::error_message(code));
+  if (!root.is_object()) return fail(Kind::bad_request, "the body is not an object");
+  Ask out;
+  std::string_view text;
+  if (root["model"].get_string().get(text) || text.empty()) return fail(Kind::bad_request, "a model is needed", "$.model");
+  out.facts.model = text;
+  simdjson::dom::element item;
+  if (!root["stream"].get(item) && item.get_bool().get(out.facts.stream)) return fail(Kind::bad_request, "true or false is expected", "$.stream");
+  if (!root["max_tokens"].get(item) && (item.get_int64().get(out.facts.output) || out.facts.output < 0))
+    return fail(Kind::bad_request, "a whole number is expected", "$.max_tokens");
+  if (!root["user"].get(item)) {
+    if (item.get_string().get(text)) return fail(Kind::bad_request, "a text is expected", "$.user");
+    out.facts.user = text;
+  }
+  out.facts.size = static_cast<std::int64_t>(body.size());
+  std::string prompt;
+  if (form == Form::chat) {
+    simdjson::dom::array turns;
+    if (root["messages"].get_array().get(turns) || turns.size() == 0) return fail(Kind::bad_request, "messages are needed", "$.messages");
+    for (simdjson::dom::element const& turn : turns) {
+      if (turn["role"].get_string().get(text)) return fail(Kind::bad_request, "a role is needed", "$.messages");
+      prompt += text;
+      prompt += '\n';
+      simdjson::dom::element content;
+      if (turn["content"].get(content) || !add_content(content, prompt)) return fail(Kind::bad_request, "a content is needed", "$.messages");
+      prompt += '\n';
+    }
+  } else {
+    if (root["prompt"].get_string().get(text)) return fail(Kind::bad_request, "a prompt is needed", "$.prompt");
+    prompt = text;
+  }
+  out.path = path_of(prompt);
+  return out;
+}
+
+Piece parse_piece(std::string_view body) {
+  Piece out;
+  static thread_local simdjson::dom::parser parser;
+  simdjson::dom::element root;
+  if (parser.parse(simdjson::padded_string(body)).get(root) || !root.is_object()) return out;
+  out.json = true;
+  simdjson::dom::element item;
+  out.error = !root["error"].get(item);
+  std::string_view id;
+  if (!root["id"].get_string().get(id)) out.id = id;
+  return out;
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/flow/errand/parse.h
@@ -0,0 +1,22 @@
+// What a caller's JSON says, as far as placing it needs (§7.1).
+#pragma once
+#include <string>
+#include <string_view>
+
+#include "flow/errand/desk.h"
+#include "ground/kinds.h"
+
+namespace pipit {
+
+enum class Form : std::uint8_t { chat, completion };
+Result<Ask> parse_ask(std::string_view body, Form form);
+
+// One event of a worker's stream, or a whole answer: is it JSON, and whose?
+struct Piece {
+  bool json = false;
+  bool error = false;
+  std::string id;
+};
+Piece parse_piece(std::string_view text);
+
+}  // namespace pipit
--- /dev/null
+++ b/src/flow/errand/pieces.h
@@ -0,0 +1,23 @@
+// Cuts a worker's event stream into whole events (§7.5).
+#pragma once
+#include <string>
+#include <string_view>
+
+namespace pipit {
+
+class Pieces {
+ public:
+  void feed(std::string_view bytes) { store += bytes; }
+  // Takes the next whole event, without its blank line; false when none is whole.
+  bool next(std::string& event);
+  bool rest() const;  // something that is not a whole event is left
+  std::size_t size() const { return store.size(); }
+
+ private:
+  std::string store;
+};
+
+// The data of an event, its lines joined.
+std::string event_data(std::string_view event);
+
+}  // namespace pipit
--- /dev/null
+++ b/src/flow/fleet/fleet.cc
@@ -0,0 +1,237 @@
+#include "flow/fleet/fleet.h"
+
+#include <simdjson.h>
+
+#include "ground/events.h"
+#include "ground/ip.h"
+#include "ground/mix.h"
+
+namespace pipit {
+
+namespace {
+// A cold send counts against a little more than its second, for what the way to the worker adds or takes.
+constexpr Micros cold_window = millis(1250);
+constexpr int revive_after = 4;
+
+bool text_of(simdjson::dom::element const& row, char const* key, std::string& out) {
+  std::string_view view;
+  if (row[key].get_string().get(view) || view.empty()) return false;
+  out = view;
+  return true;
+}
+}  // namespace
+
+Result<std::vector<ListRow>> read_list(std::string_view text) {
+  simdjson::dom::parser parser;
+  simdjson::dom::element root;
+  simdjson::dom::array items;
+  if (parser.parse(simdjson::padded_string(text)).get(root)) return fail(Kind::bad_json, "the list is not JSON");
+  if (root["workers"].get_array().get(items)) return fail(Kind::bad_request, "the list has no workers");
+  std::vector<ListRow> out;
+  std::set<std::string> seen;
+  for (simdjson::dom::element const& item : items) {
+    ListRow row;
+    std::string state;
+    if (!text_of(item, "id", row.id) || !text_of(item, "address", row.address) || !text_of(item, "zone", row.zone) ||
+        !text_of(item, "pool", row.pool) || !text_of(item, "state", state) ||
+        item["incarnation"].get_uint64().get(row.incarnation))
+      return fail(Kind::bad_request, "a row of the list lacks a field");
+    if (state != "serving" && state != "leaving") return fail(Kind::bad_request, "a row of the list has the state " + state);
+    if (!good_address(row.address)) return fail(Kind::bad_request, "a row of the list has the address " + row.address);
+    if (!seen.insert(row.id).second) return fail(Kind::bad_request, "the list names " + row.id + " twice");
+    row.leaving = state == "leaving";
+    std::int64_t slots = 0;
+    if (!item["slots"].get_int64().get(slots)) row.slots = slots;
+    out.push_back(std::move(row));
+  }
+  return out;
+}
+
+Result<Vitals> read_vitals(std::string_view text) {
+  simdjson::dom::parser parser;
+  simdjson::dom::element root;
+  Vitals out;
+  std::int64_t active = 0;
+  std::int64_t queued = 0;
+  std::int64_t awake = 0;
+  if (parser.parse(simdjson::padded_string(text)).get(root) || root["incarnation"].get_uint64().get(out.incarnation) ||
+      root["active"].get_int64().get(active) || root["queued"].get_int64().get(queued) ||
+      root["awake_ms"].get_int64().get(awake))
+    return fail(Kind::worker_wrong, "the vitals cannot be read");
+  out.demand = active + queued;
+  out.awake = millis(awake);
+  return out;
+}
+
+Worker* Fleet::find(std::string const& id) {
+  std::map<std::string, Worker>::iterator const spot = workers.find(id);
+  return spot == workers.end() ? nullptr : &spot->second;
+}
+
+void Fleet::begin_life(Worker& worker, std::uint64_t incarnation) {
+  worker.row.incarnation = incarnation;
+  worker.standing = Standing::serving;
+  worker.absent = false;
+  worker.seen_again = 0;
+  worker.cold_until = -1;
+  worker.dark = true;
+  worker.ever = false;
+  worker.misses = 0;
+  worker.demand = 0;
+  reborn.push_back(worker.row.id);
+  tell(Event::worker_joined, worker.row.id + " incarnation " + std::to_string(incarnation));
+}
+
+void Fleet::bury(Worker& worker, Standing standing) {
+  if (worker.standing == Standing::serving || standing == Standing::gone) worker.standing = standing;
+  worker.buried = std::max(worker.buried, worker.row.incarnation);
+  worker.seen_again = 0;
+  tell(standing == Standing::gone ? Event::worker_gone : Event::worker_leaving, worker.row.id);
+}
+
+void Fleet::take_list(std::vector<ListRow> const& rows, Micros now) {
+  std::set<std::string> seen;
+  for (ListRow const& row : rows) {
+    seen.insert(row.id);
+    Worker& worker = workers[row.id];
+    bool const first = worker.row.id.empty();
+    if (first) worker.row = row;
+    if (row.incarnation < worker.row.incarnation) continue;  // the list is behind what the worker said itself
+    if (first || row.incarnation > worker.row.incarnation) {
+      worker.row = row;
+      begin_life(worker, row.incarnation);
+    }
+    std::int64_t const slots = row.slots;
+    worker.listed = true;
+    worker.row.address = row.address;
+    worker.row.zone = row.zone;
+    worker.row.pool = row.pool;
+    worker.row.slots = slots;
+    if (row.leaving) {
+      worker.absent = false;
+      if (worker.standing == Standing::serving) bury(worker, Standing::leaving);
+    } else if (worker.standing == Standing::gone && worker.absent && ++worker.seen_again >= revive_after) {
+      // It was absent from a reading and has been listed ever since: the absence was the list's fault.
+      begin_life(worker, row.incarnation);
+      worker.buried = row.incarnation - 1;
+    }
+  }
+  for (std::pair<std::string const, Worker>& item : workers) {
+    Worker& worker = item.second;
+    if (seen.count(item.first)) continue;
+    worker.seen_again = 0;
+    if (!worker.listed) continue;  // known by entries only: this node's list may be behind
+    worker.listed = false;
+    if (worker.standing == Standing::gone) continue;
+    worker.absent = worker.standing == Standing::serving;
+    bury(worker, Standing::gone);
+  }
+}
+
+void Fleet::take_entry(wire::EntryT const& entry, Micros now) {
+  Worker& worker = workers[entry.key];
+  Standing const said = static_cast<Standing>(entry.state);
+  bool const first = worker.row.id.empty();
+  if (first || entry.incarnation > worker.row.incarnation) {
+    if (!good_address(entry.address)) {
+      if (first) workers.erase(entry.key);
+      return;
+    }
+    worker.row.id = entry.key;
+    worker.row.address = entry.address;
+    worker.row.zone = entry.zone;
+    worker.row.pool = entry.pool;
+    worker.row.slots = entry.slots;
+    begin_life(worker, entry.incarnation);
+  }
+  // §4.3: an entry can end a life; only this node's own list or a new incarnation can undo that.
+  if (entry.incarnation == worker.row.incarnation && said != Standing::serving && worker.standing == Standing::serving) {
+    worker.absent = said == Standing::gone;
+    bury(worker, said);
+  }
+}
+
+void Fleet::reconcile(std::map<std::string, wire::EntryT> const& entries, Micros now) {
+  for (std::pair<std::string const, wire::EntryT> const& item : entries) {
+    Worker const* const worker = find(item.first);
+    if (worker != nullptr && worker->buried >= item.second.incarnation) continue;
+    take_entry(item.second, now);
+  }
+}
+
+void Fleet::vitals(std::string const& id, std::uint64_t life, std::optional<Vitals> const& report, bool refused,
+                   Creed const& creed, Micros now) {
+  Worker* const worker = find(id);
+  if (worker == nullptr || life != worker->row.incarnation) return;
+  if (!report) {
+    ++worker->misses;
+    if (!worker->dark && (refused || worker->misses >= 2)) {
+      worker->dark = true;
+      tell(Event::worker_dark, id);
+    }
+    return;
+  }
+  worker->misses = 0;
+  if (report->incarnation < worker->row.incarnation) return;  // an older life still answers at this address
+  if (report->incarnation > worker->row.incarnation) begin_life(*worker, report->incarnation);
+  worker->demand = report->demand;
+  worker->reported = now;
+  if (worker->dark) {
+    Pool const* const pool = creed.pool(worker->row.pool);
+    Micros const span = pool == nullptr ? Pool().cold_span : pool->cold_span;
+    // §6.6: cold is what woke a short while ago, and what comes back from the dark.
+    Micros const awake = worker->ever ? 0 : report->awake;
+    worker->cold_from = now;
+    worker->cold_until = now + std::max<Micros>(0, span - awake);
+    worker->dark = false;
+    if (worker->ever) tell(Event::worker_back, id);
+    worker->ever = true;
+  }
+}
+
+bool Fleet::cold_room(Worker& worker, std::int64_t bound, std::string const& self, std::set<std::string> const& names,
+                      Micros now) const {
+  while (!worker.sends.empty() && now - worker.sends.front() >= cold_window) worker.sends.pop_front();
+  std::int64_t const nodes = static_cast<std::int64_t>(std::max<std::size_t>(1, names.size()));
+  std::int64_t share = bound / nodes;
+  if (share == 0) share = static_cast<std::int64_t>(rendezvous_rank(worker.row.id, self, names)) < bound ? 1 : 0;
+  return static_cast<std::int64_t>(worker.sends.size()) < share;
+}
+
+std::vector<wire::EntryT> Fleet::entries_for(std::set<std::string> const& owned) const {
+  std::vector<wire::EntryT> out;
+  for (std::string const& id : owned) {
+    std::map<std::string, Worker>::const_iterator const spot = workers.find(id);
+    if (spot == workers.end()) continue;
+    Worker const& worker = spot->second;
+    wire::EntryT entry;
+    entry.key = id;
+    entry.incarnation = worker.row.incarnation;
+    entry.address = worker.row.address;
+    entry.zone = worker.row.zone;
+    entry.pool = worker.row.pool;
+    entry.slots = static_cast<std::uint32_t>(worker.row.slots);
+    entry.state = static_cast<std::uint8_t>(worker.standing);
+    out.push_back(std::move(entry));
+  }
+  return out;
+}
+
+std::size_t rendezvous_rank(std::string const& key, std::string const& self, std::set<std::string> const& names) {
+  std::uint64_t const seed = mix(key);
+  std::uint64_t const own = mix(self, seed);
+  std::size_t rank = 0;
+  for (std::string const& name : names) {
+    std::uint64_t const other = mix(name, seed);
+    if (name != self && (other > own || (other == own && name < self))) ++rank;
+  }
+  return rank;
+}
+
+std::string rendezvous(std::string const& key, std::set<std::string> const& names) {
+  for (std::string const& name : names)
+    if (rendezvous_rank(key, name, names) == 0) return name;
+  return "";
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/flow/index/index.cc
@@ -0,0 +1,228 @@
+#include "flow/index/index.h"
+
+#include <algorithm>
+
+#include "ground/mix.h"
+
+namespace pipit {
+
+Index::Keep* Index::fresh_keep() {
+  if (spare.empty()) return &pool.emplace_back();
+  Keep* const out = spare.back();
+  spare.pop_back();
+  return out;
+}
+
+Index::Shelf* Index::shelf_for(std::string const& worker, std::uint64_t incarnation) {
+  std::unique_ptr<Shelf>& slot = shelves[worker];
+  if (!slot) {
+    slot = std::make_unique<Shelf>();
+    slot->worker = worker;
+    slot->incarnation = incarnation;
+  }
+  if (slot->incarnation > incarnation) return nullptr;  // said of an older life
+  if (slot->incarnation < incarnation) {
+    clear(*slot);
+    slot->incarnation = incarnation;
+  }
+  return slot.get();
+}
+
+Index::Crumb* Index::grow(std::uint64_t hash, std::uint64_t parent) {
+  tsl::robin_map<std::uint64_t, std::unique_ptr<Crumb>>::iterator const spot = crumbs.find(hash);
+  if (spot != crumbs.end()) return spot->second.get();
+  std::unique_ptr<Crumb> made = std::make_unique<Crumb>();
+  made->hash = hash;
+  made->parent = parent;
+  Crumb* const out = made.get();
+  crumbs.emplace(hash, std::move(made));
+  tsl::robin_map<std::uint64_t, std::unique_ptr<Crumb>>::iterator const up = crumbs.find(parent);
+  if (up != crumbs.end()) ++up->second->children;
+  return out;
+}
+
+void Index::keep(Crumb& crumb, Shelf& shelf, Micros now) {
+  for (Keep& item : crumb.keeps) {
+    if (item.shelf != &shelf) continue;
+    shelf.keeps.erase(shelf.keeps.iterator_to(item));
+    item.last = now;
+    shelf.keeps.push_back(item);
+    return;
+  }
+  Keep* const made = fresh_keep();
+  made->crumb = &crumb;
+  made->shelf = &shelf;
+  made->last = now;
+  crumb.keeps.push_back(*made);
+  shelf.keeps.push_back(*made);
+  ++shelf.count;
+}
+
+void Index::prune(Crumb* crumb) {
+  while (crumb != nullptr && crumb->keeps.empty() && crumb->children == 0) {
+    tsl::robin_map<std::uint64_t, std::unique_ptr<Crumb>>::iterator const up = crumbs.find(crumb->parent);
+    Crumb* const parent = up == crumbs.end() ? nullptr : up->second.get();
+    if (parent != nullptr) --parent->children;
+    crumbs.erase(crumb->hash);
+    crumb = parent;
+  }
+}
+
+void Index::drop(Keep& item) {
+  Crumb* const crumb = item.crumb;
+  item.shelf->keeps.erase(item.shelf->keeps.iterator_to(item));
+  --item.shelf->count;
+  crumb->keeps.erase(crumb->keeps.iterator_to(item));
+  spare.push_back(&item);
+  prune(crumb);
+}
+
+void Index::clear(Shelf& shelf) {
+  while (!shelf.keeps.empty()) drop(shelf.keeps.front());
+}
+
+void Index::trim(Shelf& shelf, Bounds const& bounds, Micros now) {
+  while (!shelf.keeps.empty() && (shelf.count > bounds.blocks || now - shelf.keeps.front().last > bounds.age))
+    drop(shelf.keeps.front());
+}
+
+std::map<std::string, std::size_t> Index::match(Path const& path) const {
+  std::map<std::string, std::size_t> out;
+  std::size_t depth = 0;
+  for (std::uint64_t const hash : path) {
+    tsl::robin_map<std::uint64_t, std::unique_ptr<Crumb>>::const_iterator const spot = crumbs.find(hash);
+    if (spot == crumbs.end()) break;
+    bool any = false;
+    for (Keep const& item : spot->second->keeps) {
+      if (depth == 0) {
+        out[item.shelf->worker] = 1;
+        any = true;
+        continue;
+      }
+      std::map<std::string, std::size_t>::iterator const run = out.find(item.shelf->worker);
+      if (run != out.end() && run->second == depth) {
+        run->second = depth + 1;
+        any = true;
+      }
+    }
+    if (!any) break;
+    ++depth;
+  }
+  return out;
+}
+
+wire::DeltaT Index::touch(Path const& path, std::string const& worker, std::uint64_t incarnation, Bounds const& bounds,
+                          Micros now) {
+  wire::DeltaT out;
+  out.worker = worker;
+  out.incarnation = incarnation;
+  Shelf* const shelf = shelf_for(worker, incarnation);
+  if (shelf == nullptr) return out;
+  std::uint64_t parent = 0;
+  std::vector<Crumb*> line;
+  for (std::uint64_t const hash : path) {
+    bool const known = crumbs.find(hash) != crumbs.end();
+    if (known && out.tail.empty()) out.base = hash;
+    if (!known) out.tail.push_back(hash);
+    line.push_back(grow(hash, parent));
+    parent = hash;
+  }
+  // The leaf counts as older than its root, so that a worker's prefixes are forgotten from their ends (§6.2).
+  for (std::size_t i = line.size(); i-- > 0;) keep(*line[i], *shelf, now);
+  trim(*shelf, bounds, now);
+  return out;
+}
+
+bool Index::apply(wire::DeltaT const& delta, Bounds const& bounds, Micros now) {
+  if (delta.base != 0 && crumbs.find(delta.base) == crumbs.end()) return false;
+  Shelf* const shelf = shelf_for(delta.worker, delta.incarnation);
+  if (shelf == nullptr) return true;
+  std::vector<Crumb*> line;
+  for (std::uint64_t hash = delta.base; hash != 0;) {
+    tsl::robin_map<std::uint64_t, std::unique_ptr<Crumb>>::const_iterator const spot = crumbs.find(hash);
+    if (spot == crumbs.end() || line.size() > block_most) break;
+    line.push_back(spot->second.get());
+    hash = spot->second->parent;
+  }
+  std::reverse(line.begin(), line.end());
+  std::uint64_t parent = delta.base;
+  for (std::uint64_t const hash : delta.tail) {
+    if (hash == 0 || line.size() > block_most) break;
+    line.push_back(grow(hash, parent));
+    parent = hash;
+  }
+  for (std::size_t i = line.size(); i-- > 0;) keep(*line[i], *shelf, now);
+  trim(*shelf, bounds, now);
+  return true;
+}
+
+void Index::forget(std::string const& worker) {
+  std::map<std::string, std::unique_ptr<Shelf>>::iterator const spot = shelves.find(worker);
+  if (spot != shelves.end()) clear(*spot->second);
+}
+
+void Index::age(Bounds const& bounds, Micros now) {
+  for (std::pair<std::string const, std::unique_ptr<Shelf>>& item : shelves) trim(*item.second, bounds, now);
+}
+
+std::size_t Index::held(std::string const& worker) const {
+  std::map<std::string, std::unique_ptr<Shelf>>::const_iterator const spot = shelves.find(worker);
+  return spot == shelves.end() ? 0 : spot->second->count;
+}
+
+std::vector<std::uint64_t> Index::order() const {
+  // Parents before children: by depth, then by hash, so that equal trees give equal orders.
+  std::vector<std::pair<std::size_t, std::uint64_t>> rows;
+  for (std::pair<std::uint64_t, std::unique_ptr<Crumb>> const& item : crumbs) {
+    std::size_t depth = 0;
+    std::uint64_t up = item.second->parent;
+    while (up != 0 && depth <= block_most) {
+      tsl::robin_map<std::uint64_t, std::unique_ptr<Crumb>>::const_iterator const spot = crumbs.find(up);
+      if (spot == crumbs.end()) break;
+      up = spot->second->parent;
+      ++depth;
+    }
+    rows.emplace_back(depth, item.first);
+  }
+  std::sort(rows.begin(), rows.end());
+  std::vector<std::uint64_t> out;
+  for (std::pair<std::size_t, std::uint64_t> const& row : rows) out.push_back(row.second);
+  return out;
+}
+
+std::unique_ptr<wire::CrumbT> Index::crumb(std::uint64_t hash, Micros now) const {
+  tsl::robin_map<std::uint64_t, std::unique_ptr<Crumb>>::const_iterator const spot = crumbs.find(hash);
+  if (spot == crumbs.end()) return nullptr;
+  std::unique_ptr<wire::CrumbT> out = std::make_unique<wire::CrumbT>();
+  out->hash = hash;
+  out->parent = spot->second->parent;
+  for (Keep const& item : spot->second->keeps) {
+    out->workers.push_back(item.shelf->worker);
+    out->incarnations.push_back(item.shelf->incarnation);
+    out->ages.push_back(now - item.last);
+  }
+  return out;
+}
+
+void Index::learn(wire::CrumbT const& item, Bounds const& bounds, Micros now) {
+  if (item.hash == 0 || (item.parent != 0 && crumbs.find(item.parent) == crumbs.end())) return;
+  Crumb* const made = grow(item.hash, item.parent);
+  std::size_t const n = std::min({item.workers.size(), item.incarnations.size(), item.ages.size()});
+  for (std::size_t i = 0; i < n; ++i) {
+    Shelf* const shelf = shelf_for(item.workers[i], item.incarnations[i]);
+    if (shelf == nullptr || shelf->count >= bounds.blocks || item.ages[i] > bounds.age) continue;
+    bool have = false;
+    for (Keep const& old : made->keeps) have = have || old.shelf == shelf;
+    if (!have) keep(*made, *shelf, now - std::max<Micros>(0, item.ages[i]));
+  }
+  prune(made);
+}
+
+std::uint64_t Index::digest() const {
+  std::uint64_t out = 0;
+  for (std::pair<std::uint64_t, std::unique_ptr<Crumb>> const& item : crumbs)
+    for (Keep const& k : item.second->keeps) out ^= mix(k.shelf->worker, item.first);
+  return out;
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/flow/index/index.h
@@ -0,0 +1,88 @@
+// The prefix index of one model: which worker probably still keeps which opening (§6.1, §6.2).
+#pragma once
+#include <tsl/robin_map.h>
+
+#include <boost/intrusive/list.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "flow/index/path.h"
+#include "ground/micros.h"
+#include "wire_generated.h"
+
+namespace pipit {
+
+class Index {
+ public:
+  struct Bounds {
+    std::size_t blocks = 4096;
+    Micros age = seconds(900);
+  };
+
+  // How many blocks of the path each worker is believed to keep, from the root on.
+  std::map<std::string, std::size_t> match(Path const& path) const;
+
+  // A prompt was sent to a worker. Says what peers must be told: the deepest block that was known before,
+  // and the hashes behind it.
+  wire::DeltaT touch(Path const& path, std::string const& worker, std::uint64_t incarnation, Bounds const& bounds, Micros now);
+  // A peer's choice. False when its base is not known here: then the tree must be pulled.
+  bool apply(wire::DeltaT const& delta, Bounds const& bounds, Micros now);
+  void forget(std::string const& worker);
+  // Drops what is older than the bound for each worker.
+  void age(Bounds const& bounds, Micros now);
+
+  // Repair: the whole tree, parents before children, in pages.
+  std::vector<std::uint64_t> order() const;
+  std::unique_ptr<wire::CrumbT> crumb(std::uint64_t hash, Micros now) const;
+  void learn(wire::CrumbT const& crumb, Bounds const& bounds, Micros now);
+
+  std::size_t size() const { return crumbs.size(); }
+  std::size_t held(std::string const& worker) const;
+  std::uint64_t digest() const;
+
+ private:
+  struct Crumb;
+  struct Keep;
+  using ByAge = boost::intrusive::list_base_hook<boost::intrusive::tag<struct AgeTag>, boost::intrusive::link_mode<boost::intrusive::normal_link>>;
+  using ByCrumb = boost::intrusive::list_base_hook<boost::intrusive::tag<struct CrumbTag>, boost::intrusive::link_mode<boost::intrusive::normal_link>>;
+  struct Shelf;
+  struct Keep : ByAge, ByCrumb {
+    Crumb* crumb = nullptr;
+    Shelf* shelf = nullptr;
+    Micros last = 0;
+  };
+  using AgeList = boost::intrusive::list<Keep, boost::intrusive::base_hook<ByAge>>;
+  using CrumbList = boost::intrusive::list<Keep, boost::intrusive::base_hook<ByCrumb>>;
+  struct Crumb {
+    std::uint64_t hash = 0;
+    std::uint64_t parent = 0;
+    std::size_t children = 0;
+    CrumbList keeps;
+  };
+  // What one worker is believed to keep, oldest first.
+  struct Shelf {
+    std::string worker;
+    std::uint64_t incarnation = 0;
+    AgeList keeps;
+    std::size_t count = 0;
+  };
+
+  Shelf* shelf_for(std::string const& worker, std::uint64_t incarnation);
+  Crumb* grow(std::uint64_t hash, std::uint64_t parent);
+  void keep(Crumb& crumb, Shelf& shelf, Micros now);
+  void drop(Keep& keep);
+  void prune(Crumb* crumb);
+  void clear(Shelf& shelf);
+  void trim(Shelf& shelf, Bounds const& bounds, Micros now);
+  Keep* fresh_keep();
+
+  tsl::robin_map<std::uint64_t, std::unique_ptr<Crumb>> crumbs;
+  std::map<std::string, std::unique_ptr<Shelf>> shelves;
+  std::deque<Keep> pool;
+  std::vector<Keep*> spare;
+};
+
+}  // namespace pipit
--- /dev/null
+++ b/src/flow/index/path.cc
@@ -0,0 +1,18 @@
+#include "flow/index/path.h"
+
+#include "ground/mix.h"
+
+namespace pipit {
+
+Path path_of(std::string_view prompt) {
+  Path out;
+  std::uint64_t hash = 1;
+  for (std::size_t at = 0; at + block_size <= prompt.size() && out.size() < block_most; at += block_size) {
+    hash = mix(prompt.substr(at, block_size), hash);
+    if (hash == 0) hash = 1;  // 0 is the root
+    out.push_back(hash);
+  }
+  return out;
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/flow/index/tide.cc
@@ -0,0 +1,146 @@
+#include "flow/index/tide.h"
+
+#include "ground/events.h"
+
+namespace pipit {
+
+namespace {
+constexpr std::size_t backlog_most = 4096;
+constexpr std::size_t page_bytes = 2u << 20;
+constexpr Micros stall = seconds(5);
+constexpr Micros pull_gap = seconds(5);
+}  // namespace
+
+void Tide::queue(std::string const& model, wire::DeltaT delta) {
+  if (delta.base == 0 && delta.tail.empty()) return;
+  std::vector<wire::DeltaT>& list = backlog[model];
+  if (list.size() >= backlog_most) {
+    ++dropped;  // best effort: a peer that misses it pulls the tree when it meets a path it does not know
+    return;
+  }
+  list.push_back(std::move(delta));
+}
+
+void Tide::round(Micros now, std::vector<std::pair<std::string, std::vector<std::string>>> const& peers,
+                 BoundsOf const& bounds, std::vector<Letter>& out) {
+  for (std::pair<std::string const, std::vector<wire::DeltaT>>& item : backlog) {
+    if (item.second.empty()) continue;
+    wire::DeltasT batch;
+    batch.model = item.first;
+    for (wire::DeltaT& delta : item.second) batch.list.push_back(std::make_unique<wire::DeltaT>(std::move(delta)));
+    item.second.clear();
+    for (std::pair<std::string, std::vector<std::string>> const& peer : peers) {
+      bool serves = peer.second.empty();
+      for (std::string const& model : peer.second) serves = serves || model == item.first;
+      if (serves) out.push_back(letter(peer.first, wire::DeltasT(batch)));
+    }
+  }
+  for (std::pair<std::string const, Index>& item : trees) item.second.age(bounds(item.first), now);
+  for (std::map<std::pair<std::string, std::uint64_t>, Shot>::iterator it = shots.begin(); it != shots.end();)
+    it = now - it->second.at > seconds(15) ? shots.erase(it) : std::next(it);
+}
+
+void Tide::ask(std::string const& model, Pull& pull, Micros now, std::vector<std::string> const& peers,
+               std::vector<Letter>& out) {
+  if (peers.empty()) {
+    pull.live = false;
+    pull.ended = now;
+    return;
+  }
+  // Another peer than the one that stalled, where there is one.
+  std::string pick = peers[dice.below(peers.size())];
+  if (pick == pull.from && peers.size() > 1)
+    for (std::string const& other : peers)
+      if (other != pull.from) pick = other;
+  pull.from = pick;
+  pull.number = ++next;
+  pull.page = 0;
+  pull.moved = now;
+  ++pull.tries;
+  wire::TreeAskT req;
+  req.model = model;
+  req.pull = pull.number;
+  out.push_back(letter(pick, std::move(req)));
+}
+
+void Tide::tick(Micros now, std::vector<std::string> const& peers, std::vector<Letter>& out) {
+  for (std::pair<std::string const, Pull>& item : pulling) {
+    Pull& pull = item.second;
+    if (!pull.live || now - pull.moved < stall) continue;
+    ++stalls;
+    tell(Event::tree_stalled, item.first + " from " + pull.from);
+    if (pull.tries > 3) {
+      pull.live = false;
+      pull.ended = now;
+    } else {
+      ask(item.first, pull, now, peers, out);
+    }
+  }
+}
+
+void Tide::take(std::string const& from, wire::BodyUnion const& body, Micros now, BoundsOf const& bounds,
+                std::vector<std::string> const& peers, std::vector<Letter>& out) {
+  if (wire::DeltasT const* const batch = body.AsDeltas()) {
+    Index& tree = trees[batch->model];
+    bool lost = false;
+    for (std::unique_ptr<wire::DeltaT> const& delta : batch->list)
+      if (!tree.apply(*delta, bounds(batch->model), now)) lost = true;
+    Pull& pull = pulling[batch->model];
+    // Unknown paths that come while a pull is under way are folded into it; pulls of a model keep a distance.
+    if (lost && !pull.live && now - pull.ended >= pull_gap) {
+      pull.live = true;
+      pull.tries = 0;
+      ++pulls;
+      ask(batch->model, pull, now, peers, out);
+    }
+    return;
+  }
+  if (wire::TreeAskT const* const req = body.AsTreeAsk()) {
+    std::map<std::string, Index>::const_iterator const tree = trees.find(req->model);
+    wire::TreePageT page;
+    page.model = req->model;
+    page.pull = req->pull;
+    page.page = req->page;
+    page.last = true;
+    if (tree != trees.end()) {
+      Shot& shot = shots[{from, req->pull}];
+      if (req->page == 0) shot.order = tree->second.order();
+      shot.at = now;
+      std::size_t at = 0;
+      // Pages hold a fixed count of crumbs, so that any page can be asked for on its own.
+      constexpr std::size_t crumbs = page_bytes / 256;
+      for (at = req->page * crumbs; at < shot.order.size() && page.list.size() < crumbs; ++at)
+        if (std::unique_ptr<wire::CrumbT> crumb = tree->second.crumb(shot.order[at], now)) page.list.push_back(std::move(crumb));
+      page.last = at >= shot.order.size();
+      if (page.last) shots.erase({from, req->pull});
+    }
+    out.push_back(letter(from, std::move(page)));
+    return;
+  }
+  if (wire::TreePageT const* const page = body.AsTreePage()) {
+    std::map<std::string, Pull>::iterator const spot = pulling.find(page->model);
+    if (spot == pulling.end()) return;
+    Pull& pull = spot->second;
+    if (!pull.live || pull.from != from || pull.number != page->pull || pull.page != page->page) return;
+    Index& tree = trees[page->model];
+    for (std::unique_ptr<wire::CrumbT> const& crumb : page->list) tree.learn(*crumb, bounds(page->model), now);
+    pull.moved = now;
+    if (page->last) {
+      pull.live = false;
+      pull.ended = now;
+      tell(Event::tree_pulled, page->model + " from " + from);
+      return;
+    }
+    wire::TreeAskT req;
+    req.model = page->model;
+    req.pull = pull.number;
+    req.page = ++pull.page;
+    out.push_back(letter(from, std::move(req)));
+  }
+}
+
+void Tide::forget(std::string const& worker) {
+  for (std::pair<std::string const, Index>& item : trees) item.second.forget(worker);
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/flow/index/tide.h
@@ -0,0 +1,59 @@
+// How indexes follow one another: batches of deltas each round, and pulls of a whole tree (§6.3).
+#pragma once
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "canon/register/acceptor.h"
+#include "flow/index/index.h"
+#include "ground/mix.h"
+
+namespace pipit {
+
+class Tide {
+ public:
+  explicit Tide(std::uint64_t seed) : dice(seed) {}
+
+  using BoundsOf = std::function<Index::Bounds(std::string const& model)>;
+
+  Index& index(std::string const& model) { return trees[model]; }
+  std::map<std::string, Index> const& all() const { return trees; }
+  void queue(std::string const& model, wire::DeltaT delta);
+  // Once a round: one batch for each model to each peer that serves it.
+  void round(Micros now, std::vector<std::pair<std::string, std::vector<std::string>>> const& peers, BoundsOf const& bounds,
+             std::vector<Letter>& out);
+  void tick(Micros now, std::vector<std::string> const& peers, std::vector<Letter>& out);
+  void take(std::string const& from, wire::BodyUnion const& body, Micros now, BoundsOf const& bounds,
+            std::vector<std::string> const& peers, std::vector<Letter>& out);
+  void forget(std::string const& worker);
+
+  std::uint64_t dropped = 0;  // deltas that found the backlog full
+  std::uint64_t pulls = 0;
+  std::uint64_t stalls = 0;
+
+ private:
+  struct Pull {
+    std::uint64_t number = 0;
+    std::string from;
+    std::uint32_t page = 0;
+    int tries = 0;
+    Micros moved = 0;
+    bool live = false;
+    Micros ended = -seconds(60);
+  };
+  struct Shot {  // the order of a tree that a peer is pulling
+    std::vector<std::uint64_t> order;
+    Micros at = 0;
+  };
+  void ask(std::string const& model, Pull& pull, Micros now, std::vector<std::string> const& peers, std::vector<Letter>& out);
+
+  Dice dice;
+  std::map<std::string, Index> trees;
+  std::map<std::string, std::vector<wire::DeltaT>> backlog;
+  std::map<std::string, Pull> pulling;
+  std::map<std::pair<std::string, std::uint64_t>, Shot> shots;
+  std::uint64_t next = 0;
+};
+
+}  // namespace pipit
--- /dev/null
+++ b/src/ground/events.cc
@@ -0,0 +1,47 @@
+#include "ground/events.h"
+
+#include <iterator>
+
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace pipit {
+
+namespace {
+EventRow const rows[] = {
+#define EVENT(number, name, level, text) {number, #name, #level, text},
+    PIPIT_EVENTS(EVENT)
+#undef EVENT
+};
+bool quiet_now = false;
+}  // namespace
+
+EventRow const* event_rows(std::size_t& count) {
+  count = std::size(rows);
+  return rows;
+}
+
+void open_log(std::string const& who, std::string const& file) {
+  el::Configurations conf;
+  conf.setToDefault();
+  conf.setGlobally(el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} " + who + " %level %msg");
+  conf.setGlobally(el::ConfigurationType::ToFile, file.empty() ? "false" : "true");
+  if (!file.empty()) conf.setGlobally(el::ConfigurationType::Filename, file);
+  conf.setGlobally(el::ConfigurationType::ToStandardOutput, file.empty() ? "true" : "false");
+  el::Loggers::reconfigureLogger("default", conf);
+}
+
+void hush(bool quiet) { quiet_now = quiet; }
+
+void tell(Event event, std::string const& detail) {
+  if (quiet_now) return;
+  switch (event) {
+#define EVENT(number, name, level, text) \
+  case Event::name: LOG(level) << "E" << number << " " << text << (detail.empty() ? "" : ": ") << detail; break;
+    PIPIT_EVENTS(EVENT)
+#undef EVENT
+  }
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/ground/faults.cc
@@ -0,0 +1,83 @@
+#include "ground/faults.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+
+#include "ground/events.h"
+
+namespace pipit {
+
+namespace {
+FaultRow const rows[] = {
+#define FAULT(number, name, text) {number, #name, text},
+    PIPIT_FAULTS(FAULT)
+#undef FAULT
+};
+struct Armed {
+  std::string arg;
+  std::uint64_t left = 0;
+  bool endless = false;
+  bool on = false;
+  std::uint64_t fired = 0;
+};
+std::mutex gate;
+std::map<unsigned, Armed> table;
+std::atomic<bool> any{false};
+
+bool fire(Point point, std::string const* name) {
+  if (!any.load(std::memory_order_relaxed)) return false;
+  std::lock_guard<std::mutex> const hold(gate);
+  std::map<unsigned, Armed>::iterator const spot = table.find(static_cast<unsigned>(point));
+  if (spot == table.end() || !spot->second.on) return false;
+  Armed& item = spot->second;
+  if (name != nullptr && (("," + item.arg + ",").find("," + *name + ",") == std::string::npos)) return false;
+  if (!item.endless && --item.left == 0) item.on = false;
+  ++item.fired;
+  if (item.fired == 1) tell(Event::fault_fired, std::to_string(spot->first));
+  return true;
+}
+}  // namespace
+
+FaultRow const* fault_rows(std::size_t& count) {
+  count = std::size(rows);
+  return rows;
+}
+
+bool arm_fault(unsigned number, std::string const& arg, std::uint64_t times) {
+  for (FaultRow const& row : rows) {
+    if (row.number != number) continue;
+    std::lock_guard<std::mutex> const hold(gate);
+    Armed& item = table[number];
+    item = Armed{arg, times, times == 0, true, 0};
+    any = true;
+    tell(Event::fault_armed, std::to_string(number) + " " + arg);
+    return true;
+  }
+  return false;
+}
+
+bool disarm_fault(unsigned number) {
+  std::lock_guard<std::mutex> const hold(gate);
+  std::map<unsigned, Armed>::iterator const spot = table.find(number);
+  if (spot == table.end()) return false;
+  spot->second.on = false;
+  return true;
+}
+
+bool fires(Point point) { return fire(point, nullptr); }
+bool fires_for(Point point, std::string const& name) { return fire(point, &name); }
+
+std::string fault_arg(Point point) {
+  std::lock_guard<std::mutex> const hold(gate);
+  std::map<unsigned, Armed>::const_iterator const spot = table.find(static_cast<unsigned>(point));
+  return spot == table.end() ? "" : spot->second.arg;
+}
+
+std::uint64_t fault_count(Point point) {
+  std::lock_guard<std::mutex> const hold(gate);
+  std::map<unsigned, Armed>::const_iterator const spot = table.find(static_cast<unsigned>(point));
+  return spot == table.end() ? 0 : spot->second.fired;
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/ground/ip.h
@@ -0,0 +1,10 @@
+// Addresses are IP numbers with a port; names are never resolved (§2.3).
+#pragma once
+#include <cstdint>
+#include <string>
+
+namespace pipit {
+// Splits "127.0.0.1:80" or "[::1]:80"; false for anything else, a host name and port 0 among it.
+bool split_address(std::string const& text, std::string& host, std::uint16_t& port);
+bool good_address(std::string const& text);
+}  // namespace pipit
--- /dev/null
+++ b/src/hull/disk/disk_task.cc
@@ -0,0 +1,134 @@
+#include "hull/disk/disk_task.h"
+
+#include <fcntl.h>
+#include <gio/gio.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+
+#include "ground/faults.h"
+
+namespace pipit {
+
+namespace {
+std::string why(std::string const& what, std::string const& name) { return what + " " + name + ": " + std::strerror(errno); }
+struct Handle {
+  int fd;
+  ~Handle() {
+    if (fd >= 0) ::close(fd);
+  }
+};
+struct Job {
+  wire::RecordT record;
+  bool last = false;
+};
+struct Done {
+  std::function<void(bool, std::string)> call;
+  bool good;
+  std::string text;
+};
+}  // namespace
+
+bool PosixDisk::exists(std::string const& name) {
+  struct stat info;
+  return ::stat((folder + "/" + name).c_str(), &info) == 0;
+}
+
+Result<void> PosixDisk::lock() {
+  // Held for the life of the process: two keepers never share a folder.
+  int const fd = ::open((folder + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
+  if (fd < 0) return fail(Kind::bad_disk, why("cannot open", "lock"));
+  if (::flock(fd, LOCK_EX | LOCK_NB) != 0) {
+    ::close(fd);
+    return fail(Kind::bad_disk, "another process uses the data folder");
+  }
+  return boost::outcome_v2::success();
+}
+
+Result<std::string> PosixDisk::read(std::string const& name) {
+  Handle const file{::open((folder + "/" + name).c_str(), O_RDONLY | O_CLOEXEC)};
+  if (file.fd < 0) return fail(Kind::bad_disk, why("cannot open", name));
+  struct stat info;
+  if (::fstat(file.fd, &info) != 0) return fail(Kind::bad_disk, why("cannot look at", name));
+  std::string out(static_cast<std::size_t>(info.st_size), '\0');
+  std::size_t at = 0;
+  while (at < out.size()) {
+    ssize_t const n = ::pread(file.fd, out.data() + at, out.size() - at, static_cast<off_t>(at));
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) return fail(Kind::bad_disk, why("cannot read", name));
+    at += static_cast<std::size_t>(n);
+  }
+  return out;
+}
+
+Result<void> PosixDisk::write(std::string const& name, std::string const& bytes) {
+  if (fires(Point::end_before_sync)) ::_exit(41);
+  if (fires(Point::disk_slow)) g_usleep(static_cast<gulong>(std::stoll("0" + fault_arg(Point::disk_slow)) * 1000));
+  Handle const file{::open((folder + "/" + name).c_str(), O_WRONLY | O_CLOEXEC)};
+  if (file.fd < 0) return fail(Kind::bad_disk, why("cannot open", name));
+  bool const torn = fires(Point::disk_torn);
+  std::size_t const size = torn ? bytes.size() / 2 : bytes.size();
+  std::size_t at = 0;
+  while (at < size) {
+    ssize_t const n = ::pwrite(file.fd, bytes.data() + at, size - at, static_cast<off_t>(at));
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) return fail(Kind::bad_disk, why("cannot write", name));
+    at += static_cast<std::size_t>(n);
+  }
+  if (torn) ::_exit(42);
+  if (fires(Point::disk_fail)) return fail(Kind::bad_disk, "cannot sync " + name + ": fault point 10");
+  if (::fdatasync(file.fd) != 0) return fail(Kind::bad_disk, why("cannot sync", name));
+  return boost::outcome_v2::success();
+}
+
+Result<void> PosixDisk::sync_folder() {
+  Handle const dir{::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC)};
+  if (dir.fd < 0 || ::fsync(dir.fd) != 0) return fail(Kind::bad_disk, why("cannot sync", folder));
+  return boost::outcome_v2::success();
+}
+
+Result<void> PosixDisk::allocate(std::string const& name, std::size_t size) {
+  Handle const file{::open((folder + "/" + name).c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0644)};
+  if (file.fd < 0) return fail(Kind::bad_disk, why("cannot make", name));
+  int const code = ::posix_fallocate(file.fd, 0, static_cast<off_t>(size));
+  if (code != 0) {
+    errno = code;
+    return fail(Kind::bad_disk, why("cannot allocate", name));
+  }
+  if (::fsync(file.fd) != 0) return fail(Kind::bad_disk, why("cannot sync", name));
+  return sync_folder();
+}
+
+DiskTask::DiskTask(std::unique_ptr<PosixDisk> disk_, std::unique_ptr<RingLog> ring_, std::function<void(bool, std::string)> done_)
+    : disk(std::move(disk_)), ring(std::move(ring_)), done(std::move(done_)), backlog(g_async_queue_new()), thread([this] { run(); }) {}
+
+DiskTask::~DiskTask() {
+  g_async_queue_push(backlog, new Job{{}, true});
+  thread.join();
+  g_async_queue_unref(backlog);
+}
+
+void DiskTask::save(wire::RecordT record) { g_async_queue_push(backlog, new Job{std::move(record), false}); }
+
+void DiskTask::run() {
+  while (true) {
+    std::unique_ptr<Job> const job(static_cast<Job*>(g_async_queue_pop(backlog)));
+    if (job->last) return;
+    Result<void> const saved = ring->save(job->record);
+    if (saved && fires(Point::end_after_sync)) ::_exit(43);
+    Done* const word = new Done{done, static_cast<bool>(saved), saved ? "" : saved.error().why};
+    g_idle_add_full(
+        G_PRIORITY_HIGH,
+        [](gpointer data) -> gboolean {
+          std::unique_ptr<Done> const item(static_cast<Done*>(data));
+          item->call(item->good, item->text);
+          return G_SOURCE_REMOVE;
+        },
+        word, nullptr);
+  }
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/hull/disk/disk_task.h
@@ -0,0 +1,43 @@
+// Disk I/O on a task of its own; the loop never waits for a sync (§5.6).
+#pragma once
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "canon/ring/ring.h"
+
+typedef struct _GAsyncQueue GAsyncQueue;
+
+namespace pipit {
+
+class PosixDisk : public Disk {
+ public:
+  explicit PosixDisk(std::string folder_) : folder(std::move(folder_)) {}
+  bool exists(std::string const& name) override;
+  Result<std::string> read(std::string const& name) override;
+  Result<void> write(std::string const& name, std::string const& bytes) override;
+  Result<void> allocate(std::string const& name, std::size_t size) override;
+  Result<void> lock();
+
+ private:
+  Result<void> sync_folder();
+  std::string const folder;
+};
+
+class DiskTask {
+ public:
+  DiskTask(std::unique_ptr<PosixDisk> disk_, std::unique_ptr<RingLog> ring_, std::function<void(bool, std::string)> done_);
+  ~DiskTask();
+  void save(wire::RecordT record);
+
+ private:
+  void run();
+  std::unique_ptr<PosixDisk> disk;
+  std::unique_ptr<RingLog> ring;
+  std::function<void(bool, std::string)> done;
+  GAsyncQueue* backlog;
+  std::thread thread;
+};
+
+}  // namespace pipit
--- /dev/null
+++ b/src/hull/host.cc
@@ -0,0 +1,574 @@
+#include "hull/host.h"
+
+#include <glib-unix.h>
+#include <unistd.h>
+
+#include <cstdio>
+
+#include "canon/creed/creed.h"
+#include "flow/errand/parse.h"
+#include "ground/events.h"
+#include "ground/faults.h"
+#include "ground/jot.h"
+
+namespace pipit {
+
+namespace {
+Micros now() { return g_get_monotonic_time(); }
+constexpr guint tick_ms = 25;
+}  // namespace
+
+Host::Host(Settings settings_, Role role_, std::optional<wire::RecordT> slate, std::unique_ptr<PosixDisk> disk_, std::unique_ptr<RingLog> ring)
+    : settings(std::move(settings_)), role(role_), loop(g_main_loop_new(nullptr, FALSE)) {
+  NodePlan plan;
+  plan.cluster = settings.cluster;
+  plan.name = settings.name;
+  plan.zone = settings.zone;
+  plan.address = settings.mesh;
+  plan.http = settings.http;
+  plan.role = role;
+  plan.seeds = settings.seeds;
+  plan.models = settings.models;
+  plan.founders = settings.founders;
+  plan.incarnation = static_cast<std::uint64_t>(g_get_real_time());
+  plan.chance = plan.incarnation ^ mix(settings.name);
+  node = std::make_unique<Node>(plan, now(), std::move(slate));
+
+  Wires::Ears we;
+  we.opened = [this](WireId id, bool outbound, std::string const& address) {
+    NodeOut out;
+    node->opened(id, outbound, address, now(), out);
+    act(out);
+  };
+  we.shut = [this](WireId id) {
+    NodeOut out;
+    wire_names.erase(id);
+    node->shut(id, now(), out);
+    act(out);
+  };
+  we.failed = [this](std::string const& address, bool refused) {
+    NodeOut out;
+    node->dial_failed(address, refused, now(), out);
+    act(out);
+  };
+  we.frame = [this](WireId id, std::string_view frame) {
+    wire_bytes += frame.size();
+    if (settings.faults && dropped_in(id, frame)) return true;
+    NodeOut out;
+    bool const good = node->bytes(id, frame, now(), out);
+    act(out);
+    return good;
+  };
+  wires = std::make_unique<Wires>(std::move(we));
+
+  Legs::Ears le;
+  le.sent = [this](std::uint64_t id) { node->leg_sent(id); };
+  le.piece = [this](std::uint64_t id, std::string const& event) {
+    std::map<std::uint64_t, Caller>::iterator const spot = callers.find(id);
+    if (spot == callers.end()) return;
+    if (!spot->second.begun) {
+      spot->second.begun = true;
+      node->leg_began(id);
+    }
+    front->piece(id, event + "\n\n", {{"X-Request-Id", spot->second.id}});
+  };
+  le.whole = [this](std::uint64_t id, std::string body) {
+    std::map<std::uint64_t, Caller>::iterator const spot = callers.find(id);
+    if (spot != callers.end()) front->answer(id, 200, "application/json", body, {{"X-Request-Id", spot->second.id}});
+  };
+  le.ended = [this](std::uint64_t id, LegEnd end, std::string const& why, Micros back) {
+    if (end == LegEnd::done && callers.count(id)) {
+      if (callers[id].stream) {
+        front->piece(id, "data: [DONE]\n\n");
+        front->end(id);
+      }
+      callers.erase(id);
+    }
+    NodeOut out;
+    node->leg_ended(id, end, why, back, now(), out);
+    act(out);
+  };
+  legs = std::make_unique<Legs>(std::move(le));
+
+  Front::Ears fe;
+  fe.call = [this](Front::Call const& call) { on_call(call); };
+  fe.gone = [this](std::uint64_t id) {
+    asked.erase(id);
+    if (callers.erase(id) == 0) return;
+    NodeOut out;
+    node->hung_up(id, now(), out);
+    act(out);
+  };
+  front = std::make_unique<Front>(std::move(fe), std::max(settings.body, creed_limit + 4096));
+
+  if (ring)
+    disk = std::make_unique<DiskTask>(std::move(disk_), std::move(ring), [this](bool good, std::string const& why) {
+      if (!good) {
+        // §5.6: after a failed sync nothing is known of what the disk holds; the keeper must not speak again.
+        tell(Event::disk_failed, why);
+        code = 3;
+        g_main_loop_quit(loop);
+        return;
+      }
+      NodeOut out;
+      node->disk_done(now(), out);
+      act(out);
+    });
+}
+
+Host::~Host() {
+  if (ticker != 0) g_source_remove(ticker);
+  front.reset();
+  legs.reset();
+  wires.reset();
+  disk.reset();
+  g_main_loop_unref(loop);
+}
+
+Result<void> Host::listen() {
+  Result<void> done = wires->listen(settings.mesh);
+  if (!done) return done;
+  return front->listen(settings.http);
+}
+
+bool Host::dropped_in(WireId id, std::string_view frame) {
+  std::string name = wire_names.count(id) ? wire_names[id] : "";
+  if (name.empty()) {
+    Result<std::unique_ptr<wire::FrameT>> seen = decode(frame);
+    if (seen && seen.value()->body.type == wire::Body::Hello && seen.value()->body.AsHello()->self) {
+      name = seen.value()->body.AsHello()->self->name;
+      wire_names[id] = name;
+    }
+  }
+  return fires_for(Point::cut_in, name);
+}
+
+bool Host::dropped_out(WireId id, std::string const& frame) {
+  std::map<WireId, std::string>::const_iterator const spot = wire_names.find(id);
+  if (spot != wire_names.end() && fires_for(Point::cut_out, spot->second)) return true;
+  flatbuffers::Verifier check(reinterpret_cast<std::uint8_t const*>(frame.data()), frame.size());
+  wire::Frame const* const seen = flatbuffers::GetSizePrefixedRoot<wire::Frame>(frame.data());
+  switch (seen->body_type()) {
+    case wire::Body::Chosen: return fires(Point::spread_lost);
+    case wire::Body::Confirm: return fires(Point::confirm_lost);
+    case wire::Body::Deltas: return fires(Point::delta_lost);
+    case wire::Body::TreePage: return fires(Point::page_lost);
+    case wire::Body::Entries: return fires(Point::entries_lost);
+    default: return false;
+  }
+}
+
+// The executor: obeys what the core decided.
+void Host::act(NodeOut& out) {
+  if (out.save) disk->save(std::move(*out.save));
+  for (std::string const& address : out.mesh.dials) wires->dial(address);
+  for (Sends::Send& send : out.mesh.sends) {
+    if (settings.faults && dropped_out(send.wire, send.bytes)) continue;
+    if (settings.faults && fires(Point::wire_garbage))
+      for (std::size_t i = 4; i < send.bytes.size(); ++i) send.bytes[i] = static_cast<char>(send.bytes[i] ^ 0x5a);
+    wire_bytes += send.bytes.size();
+    wires->send(send.wire, std::move(send.bytes));
+  }
+  for (WireId const id : out.mesh.shuts) {
+    wire_names.erase(id);
+    wires->shut(id);
+  }
+  for (Start const& start : out.desk.starts) {
+    std::map<std::uint64_t, Caller>::const_iterator const spot = callers.find(start.errand);
+    if (spot == callers.end()) continue;
+    legs->start(start, spot->second.id, spot->second.path, spot->second.body, spot->second.stream);
+  }
+  for (Verdict const& verdict : out.desk.ends) finish(verdict);
+  for (std::uint64_t const id : out.desk.drops) legs->cut(id);
+  for (Reply const& item : out.replies) reply(item);
+  if (out.read_list) {
+    if (fires(Point::list_fail)) {
+      NodeOut more;
+      node->list(std::nullopt, now(), more);
+      act(more);
+    } else {
+      legs->get(settings.platform, "/workers", millis(1500), [this](bool good, bool, std::string const& body) {
+        std::optional<std::vector<ListRow>> rows;
+        if (good) {
+          Result<std::vector<ListRow>> read = read_list(fires(Point::list_torn) ? body.substr(0, body.size() / 2) : body);
+          if (read) rows = std::move(read.value());
+        }
+        NodeOut more;
+        node->list(rows, now(), more);
+        act(more);
+      });
+    }
+  }
+  for (Check const& check : out.checks) {
+    if (fires_for(Point::cut_workers, check.worker) || fires(Point::vitals_fail)) {
+      NodeOut more;
+      node->vitals(check, std::nullopt, false, now(), more);
+      act(more);
+      continue;
+    }
+    legs->get(check.address, "/vitals", millis(1000), [this, check](bool good, bool refused, std::string const& body) {
+      std::optional<Vitals> report;
+      if (good) {
+        Result<Vitals> read = read_vitals(body);
+        if (read) report = read.value();
+      }
+      NodeOut more;
+      node->vitals(check, report, refused, now(), more);
+      act(more);
+    });
+  }
+}
+
+void Host::refuse(std::uint64_t id, Fault const& fault) {
+  ++kinds[kind_row(fault.kind).name];
+  front->answer(id, answer_for(fault));
+}
+
+void Host::finish(Verdict const& verdict) {
+  ++kinds[kind_row(verdict.fault.kind).name];
+  Answer const out = answer_for(verdict.fault, verdict.ran, verdict.wait);
+  std::map<std::uint64_t, Caller>::iterator const spot = callers.find(verdict.errand);
+  if (spot == callers.end()) return;
+  bool const begun = spot->second.begun;
+  callers.erase(spot);
+  if (begun) {
+    tell(Event::stream_broke, kind_row(verdict.fault.kind).name);
+    front->break_off(verdict.errand, "event: error\ndata: " + out.body + "\n\n");
+  } else {
+    front->answer(verdict.errand, out);
+  }
+}
+
+void Host::on_call(Front::Call const& call) {
+  bool const get = call.method == "GET";
+  if (call.path == "/health" && get) return front->answer(call.id, 200, "application/json", "{\"ok\":true}");
+  if (call.path == "/ready" && get) {
+    if (node->draining()) return refuse(call.id, Fault{Kind::draining, "", ""});
+    if (!node->ready()) return refuse(call.id, Fault{Kind::not_ready, "", ""});
+    return front->answer(call.id, 200, "application/json", "{\"ready\":true}");
+  }
+  if (call.path == "/metrics" && get) return front->answer(call.id, 200, "text/plain; version=0.0.4", metrics());
+  if (call.path == "/v1/status" && get) return front->answer(call.id, 200, "application/json", status());
+  if (call.path == "/faults" && settings.faults) return on_fault(call);
+  bool const chat = call.path == "/v1/chat/completions";
+  if (chat || call.path == "/v1/completions") {
+    if (role != Role::passage) return refuse(call.id, Fault{Kind::not_found, "a keeper serves no requests", ""});
+    if (call.method != "POST") return refuse(call.id, Fault{Kind::bad_method, "", ""});
+    return on_errand(call, chat);
+  }
+  on_operator(call);
+}
+
+void Host::on_errand(Front::Call const& call, bool chat) {
+  if (call.body.size() > settings.body) return refuse(call.id, Fault{Kind::too_large, "a body has at most " + std::to_string(settings.body) + " bytes", ""});
+  Result<Ask> ask = parse_ask(call.body, chat ? Form::chat : Form::completion);
+  if (!ask) return refuse(call.id, ask.error());
+  ask.value().lane = call.header("X-Pipit-Lane");
+  std::string const repeat = call.header("X-Pipit-Repeat");
+  if (!repeat.empty() && repeat != "safe" && repeat != "never") return refuse(call.id, Fault{Kind::bad_request, "X-Pipit-Repeat takes safe or never", ""});
+  ask.value().safe = repeat == "safe";
+  Caller caller;
+  caller.id = settings.name + "-" + std::to_string(node->plan.incarnation) + "-" + std::to_string(call.id);
+  caller.path = call.path;
+  caller.body = call.body;
+  caller.stream = ask.value().facts.stream;
+  caller.came = now();
+  callers.emplace(call.id, std::move(caller));
+  NodeOut out;
+  node->errand(call.id, std::move(ask.value()), now(), out);
+  act(out);
+}
+
+void Host::on_operator(Front::Call const& call) {
+  Change change;
+  if (call.path == "/v1/description") {
+    if (call.method == "GET") {
+      change.sort = Change::Sort::read;
+    } else if (call.method == "PUT") {
+      std::string const expected = call.header("If-Match");
+      if (expected.empty() || expected.size() > 18 || expected.find_first_not_of("0123456789") != std::string::npos)
+        return refuse(call.id, Fault{Kind::bad_request, "If-Match with the expected serial is needed", ""});
+      Result<std::shared_ptr<Creed const>> const made = read_creed(call.body);
+      if (!made) {
+        tell(Event::change_refused, made.error().why);
+        return refuse(call.id, made.error());
+      }
+      change.sort = Change::Sort::apply;
+      change.text = call.body;
+      change.expected = std::stoull(expected);
+    } else {
+      return refuse(call.id, Fault{Kind::bad_method, "", ""});
+    }
+  } else if (call.path.rfind("/v1/zones/", 0) == 0) {
+    std::string const rest = call.path.substr(10);
+    std::size_t const cut = rest.rfind('/');
+    std::string const verb = cut == std::string::npos ? "" : rest.substr(cut + 1);
+    change.text = rest.substr(0, cut);
+    if (verb == "empty") change.sort = Change::Sort::empty;
+    else if (verb == "refill") change.sort = Change::Sort::refill;
+    else return refuse(call.id, Fault{Kind::not_found, "", ""});
+    if (call.method != "POST") return refuse(call.id, Fault{Kind::bad_method, "", ""});
+    if (!node->zone_known(change.text)) return refuse(call.id, Fault{Kind::unknown_zone, "nothing is known of the zone '" + change.text + "'", ""});
+  } else if (call.path.rfind("/v1/changes/", 0) == 0 && call.method == "GET") {
+    change.sort = Change::Sort::read;
+    asked[call.id] = {change.sort, call.path.substr(12)};
+    NodeOut out;
+    node->operate(call.id, std::move(change), now(), out);
+    return act(out);
+  } else {
+    return refuse(call.id, Fault{Kind::not_found, "", ""});
+  }
+  asked[call.id] = {change.sort, ""};
+  NodeOut out;
+  node->operate(call.id, std::move(change), now(), out);
+  act(out);
+}
+
+void Host::reply(Reply const& item) {
+  std::map<std::uint64_t, std::pair<Change::Sort, std::string>>::iterator const spot = asked.find(item.id);
+  if (spot == asked.end()) return;
+  std::pair<Change::Sort, std::string> const what = spot->second;
+  asked.erase(spot);
+  Outcome const& outcome = item.outcome;
+  if (outcome.sort == Outcome::Sort::refused || outcome.sort == Outcome::Sort::unknown) {
+    ++kinds[kind_row(outcome.fault.kind).name];
+    KindRow const& row = kind_row(outcome.fault.kind);
+    Answer const out = answer_for(outcome.fault);
+    std::map<std::string, std::string> more = {{"X-Pipit-Change", item.change}};
+    if (row.wait > 0) more["Retry-After"] = std::to_string((row.wait + seconds(1) - 1) / seconds(1));
+    return front->answer(item.id, out.status, "application/json", out.body, more);
+  }
+  wire::ValueT const& value = outcome.value;
+  if (what.first == Change::Sort::read && what.second.empty()) {
+    std::string emptied;
+    for (std::string const& zone : value.emptied) emptied += (emptied.empty() ? "" : ",") + zone;
+    return front->answer(item.id, 200, "application/json", value.text, {{"X-Pipit-Serial", std::to_string(value.serial)}, {"X-Pipit-Emptied", emptied}, {"ETag", std::to_string(value.serial)}});
+  }
+  if (what.first == Change::Sort::read) {
+    std::uint64_t serial = value.change == what.second ? value.serial : 0;
+    for (std::unique_ptr<wire::MarkT> const& mark : value.past)
+      if (mark->change == what.second) serial = mark->serial;
+    if (serial == 0) return refuse(item.id, Fault{Kind::unknown_change, "", ""});
+    Jot jot;
+    jot.open().key("change").text(what.second).key("serial").number(static_cast<std::int64_t>(serial)).shut();
+    return front->answer(item.id, 200, "application/json", jot.take());
+  }
+  Jot jot;
+  jot.open().key("serial").number(static_cast<std::int64_t>(value.serial)).key("change").text(item.change);
+  jot.key("changed").truth(outcome.sort == Outcome::Sort::chosen);
+  if (what.first == Change::Sort::empty) {
+    jot.key("unconfirmed").list();
+    for (std::string const& name : item.missing) jot.text(name);
+    jot.unlist();
+  }
+  jot.shut();
+  front->answer(item.id, item.missing.empty() ? 200 : 202, "application/json", jot.take());
+}
+
+void Host::on_fault(Front::Call const& call) {
+  // A test's door: {"point": 1} with the argument and the count in the query.
+  unsigned const number = static_cast<unsigned>(std::strtoul(call.query.count("point") ? call.query.at("point").c_str() : "0", nullptr, 10));
+  std::string const arg = call.query.count("arg") ? call.query.at("arg") : "";
+  std::uint64_t const times = call.query.count("times") ? std::strtoull(call.query.at("times").c_str(), nullptr, 10) : 0;
+  if (call.method == "GET") {
+    Jot jot;
+    jot.open().key("fired").number(static_cast<std::int64_t>(fault_count(static_cast<Point>(number)))).shut();
+    return front->answer(call.id, 200, "application/json", jot.take());
+  }
+  bool const good = call.method == "DELETE" ? disarm_fault(number) : arm_fault(number, arg, times);
+  if (!good) return refuse(call.id, Fault{Kind::not_found, "there is no fault point " + std::to_string(number), ""});
+  front->answer(call.id, 200, "application/json", "{\"ok\":true}");
+}
+
+std::string Host::status() const {
+  Jot jot;
+  jot.open().key("name").text(settings.name).key("role").text(role == Role::passage ? "passage" : "accord");
+  jot.key("zone").text(settings.zone).key("ready").truth(node->ready()).key("draining").truth(node->draining());
+  jot.key("serial").number(static_cast<std::int64_t>(node->learner.serial()));
+  jot.key("emptied").list();
+  for (std::string const& zone : node->desk.emptied()) jot.text(zone);
+  jot.unlist().key("keepers").list();
+  for (wire::KeeperT const& keeper : node->learner.ring().keepers) jot.text(keeper.name);
+  jot.unlist().key("epoch").number(static_cast<std::int64_t>(node->learner.ring().epoch));
+  jot.key("peers").list();
+  for (std::pair<std::string const, Peer> const& item : node->mesh.roll.peers) {
+    Peer const& peer = item.second;
+    jot.open().key("name").text(item.first).key("state").text(state_word(peer.state())).key("wire").truth(peer.wire != 0);
+    jot.key("role").text(peer.role() == Role::passage ? "passage" : "accord").key("zone").text(peer.member.zone);
+    jot.key("http").text(peer.member.http);
+    jot.key("serial").number(static_cast<std::int64_t>(peer.member.serial)).key("ready").truth(peer.member.ready).shut();
+  }
+  jot.unlist().key("workers").list();
+  for (std::pair<std::string const, Worker> const& item : node->fleet.workers) {
+    Worker const& worker = item.second;
+    static char const* const words[] = {"serving", "leaving", "gone"};
+    jot.open().key("id").text(item.first).key("zone").text(worker.row.zone).key("pool").text(worker.row.pool);
+    jot.key("standing").text(words[static_cast<std::size_t>(worker.standing)]).key("dark").truth(worker.dark);
+    jot.key("incarnation").number(static_cast<std::int64_t>(worker.row.incarnation));
+    jot.key("demand").number(worker.guess()).shut();
+  }
+  jot.unlist().key("backlog").number(static_cast<std::int64_t>(node->desk.waiting()));
+  jot.key("under_way").number(static_cast<std::int64_t>(node->under_way())).shut();
+  return jot.take();
+}
+
+std::string Host::metrics() const {
+  std::string out;
+  Tally const& t = node->desk.tally;
+  struct Row {
+    char const* name;
+    char const* sort;
+    std::uint64_t value;
+  };
+  Row const rows[] = {
+      {"pipit_asked_total", "counter", t.asked},
+      {"pipit_first_sends_total", "counter", t.first_sends},
+      {"pipit_resends_total", "counter", t.resends},
+      {"pipit_done_total", "counter", t.done},
+      {"pipit_refused_total", "counter", t.refused},
+      {"pipit_streams_broken_total", "counter", t.broken},
+      {"pipit_hangups_total", "counter", t.hangups},
+      {"pipit_expired_total", "counter", t.late},
+      {"pipit_blocks_asked_total", "counter", t.blocks_asked},
+      {"pipit_blocks_hit_total", "counter", t.blocks_hit},
+      {"pipit_far_sends_total", "counter", t.far_sends},
+      {"pipit_wire_bytes_total", "counter", wire_bytes},
+      {"pipit_frames_in_total", "counter", node->mesh.frames_in},
+      {"pipit_deltas_dropped_total", "counter", node->tide.dropped},
+      {"pipit_tree_pulls_total", "counter", node->tide.pulls},
+      {"pipit_tree_stalls_total", "counter", node->tide.stalls},
+      {"pipit_clock_jumps_total", "counter", node->jumps},
+      {"pipit_serial", "gauge", node->learner.serial()},
+      {"pipit_ready", "gauge", node->ready() ? 1u : 0u},
+      {"pipit_backlog", "gauge", node->desk.waiting()},
+      {"pipit_under_way", "gauge", node->under_way()},
+      {"pipit_wires", "gauge", node->mesh.wires_open()},
+  };
+  for (Row const& row : rows) out += std::string("# TYPE ") + row.name + " " + row.sort + "\n" + row.name + " " + std::to_string(row.value) + "\n";
+  out += "# TYPE pipit_answers_total counter\n";
+  for (std::pair<std::string const, std::uint64_t> const& item : kinds) out += "pipit_answers_total{kind=\"" + item.first + "\"} " + std::to_string(item.second) + "\n";
+  return out;
+}
+
+void Host::begin_drain() {
+  if (drain_until >= 0) {
+    g_main_loop_quit(loop);  // asked twice: at once
+    return;
+  }
+  drain_until = now() + settings.drain;
+  front->closing();
+  NodeOut out;
+  node->drain(now(), out);
+  act(out);
+}
+
+void Host::reload() {
+  std::string const flag = "--settings=" + settings.file;
+  char const* const argv[] = {"reload", flag.c_str()};
+  if (settings.file.empty()) {
+    tell(Event::settings_refused, "there is no settings file");
+    return;
+  }
+  Result<Settings> fresh = read_settings(2, argv, role == Role::accord);
+  std::string why;
+  if (!fresh) {
+    why = fresh.error().why;
+  } else {
+    Settings const& s = fresh.value();
+    // What a process is cannot change while it lives; what it allows can.
+    if (s.name != settings.name || s.cluster != settings.cluster || s.zone != settings.zone || s.mesh != settings.mesh ||
+        s.http != settings.http || s.data != settings.data || s.founders != settings.founders || s.models != settings.models ||
+        s.seeds != settings.seeds || s.faults != settings.faults || s.log != settings.log)
+      why = "only platform, drain and body can change without a restart";
+  }
+  if (!why.empty()) {
+    tell(Event::settings_refused, why);
+    return;
+  }
+  settings.drain = fresh.value().drain;
+  settings.body = fresh.value().body;
+  settings.platform = fresh.value().platform;
+  tell(Event::settings_taken, settings.file);
+}
+
+int Host::run() {
+  ticker = g_timeout_add(
+      tick_ms,
+      [](gpointer data) -> gboolean {
+        Host& host = *static_cast<Host*>(data);
+        NodeOut out;
+        host.node->tick(now(), out);
+        host.act(out);
+        if (host.drain_until >= 0 && ((host.node->under_way() == 0 && host.front->open() == 0) || now() >= host.drain_until)) g_main_loop_quit(host.loop);
+        return G_SOURCE_CONTINUE;
+      },
+      this);
+  guint const term = g_unix_signal_add(
+      SIGTERM,
+      [](gpointer data) -> gboolean {
+        static_cast<Host*>(data)->begin_drain();
+        return G_SOURCE_CONTINUE;
+      },
+      this);
+  guint const interrupt = g_unix_signal_add(
+      SIGINT,
+      [](gpointer data) -> gboolean {
+        static_cast<Host*>(data)->begin_drain();
+        return G_SOURCE_CONTINUE;
+      },
+      this);
+  guint const hup = g_unix_signal_add(
+      SIGHUP,
+      [](gpointer data) -> gboolean {
+        static_cast<Host*>(data)->reload();
+        return G_SOURCE_CONTINUE;
+      },
+      this);
+  tell(Event::started, settings.http + " mesh " + settings.mesh);
+  g_main_loop_run(loop);
+  g_source_remove(term);
+  g_source_remove(interrupt);
+  g_source_remove(hup);
+  tell(Event::stopped, "");
+  return code;
+}
+
+int run_node(int argc, char** argv, Role role) {
+  bool const keeper = role == Role::accord;
+  Result<Settings> settings = read_settings(argc, argv, keeper);
+  if (!settings) {
+    std::fprintf(stderr, "%s: %s\n", keeper ? "accord" : "passage", settings.error().why.c_str());
+    return 2;
+  }
+  if (settings.value().help) {
+    std::fputs(settings.value().help_text.c_str(), stdout);
+    return 0;
+  }
+  open_log(settings.value().name, settings.value().log);
+  std::optional<wire::RecordT> slate;
+  std::unique_ptr<PosixDisk> disk;
+  std::unique_ptr<RingLog> ring;
+  if (keeper) {
+    disk = std::make_unique<PosixDisk>(settings.value().data);
+    ring = std::make_unique<RingLog>(*disk, settings.value().cluster, settings.value().name);
+    Result<void> const locked = disk->lock();
+    bool blank = false;
+    std::uint64_t const fresh = stir(static_cast<std::uint64_t>(g_get_real_time()) ^ (static_cast<std::uint64_t>(g_random_int()) << 32));
+    Result<wire::RecordT> opened = locked ? ring->open(fresh, blank) : Result<wire::RecordT>(locked.as_failure());
+    if (!opened) {
+      std::fprintf(stderr, "accord: data: %s\n", opened.error().why.c_str());
+      return 2;
+    }
+    slate = std::move(opened.value());
+    tell(blank ? Event::keeper_blank : Event::keeper_back, "serial " + std::to_string(slate->value ? slate->value->serial : 0));
+  }
+  Host host(std::move(settings.value()), role, std::move(slate), std::move(disk), std::move(ring));
+  Result<void> const listening = host.listen();
+  if (!listening) {
+    std::fprintf(stderr, "%s: %s\n", keeper ? "accord" : "passage", listening.error().why.c_str());
+    return 2;
+  }
+  return host.run();
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/hull/host.h
@@ -0,0 +1,70 @@
+// A node with its I/O: the core is asked, and the tasks that own sockets and disk obey (§2.2).
+#pragma once
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/node.h"
+#include "ground/settings.h"
+#include "hull/disk/disk_task.h"
+#include "hull/http/front.h"
+#include "hull/http/legs.h"
+#include "hull/wire/wires.h"
+
+namespace pipit {
+
+class Host {
+ public:
+  Host(Settings settings_, Role role, std::optional<wire::RecordT> slate, std::unique_ptr<PosixDisk> disk, std::unique_ptr<RingLog> ring);
+  ~Host();
+  Result<void> listen();
+  // Returns the exit code once the process is to end.
+  int run();
+
+ private:
+  struct Caller {  // a caller's request, by the id of its call
+    std::string id;
+    std::string path;
+    std::string body;
+    bool stream = false;
+    bool begun = false;
+    Micros came = 0;
+  };
+  void act(NodeOut& out);
+  void on_call(Front::Call const& call);
+  void on_errand(Front::Call const& call, bool chat);
+  void on_operator(Front::Call const& call);
+  void on_fault(Front::Call const& call);
+  void refuse(std::uint64_t id, Fault const& fault);
+  void finish(Verdict const& verdict);
+  void reply(Reply const& reply);
+  std::string status() const;
+  std::string metrics() const;
+  void begin_drain();
+  void reload();
+  bool dropped_in(WireId id, std::string_view frame);
+  bool dropped_out(WireId id, std::string const& frame);
+
+  Settings settings;
+  Role const role;
+  GMainLoop* loop;
+  std::unique_ptr<Node> node;
+  std::unique_ptr<Wires> wires;
+  std::unique_ptr<Legs> legs;
+  std::unique_ptr<Front> front;
+  std::unique_ptr<DiskTask> disk;
+  std::map<std::uint64_t, Caller> callers;
+  std::map<WireId, std::string> wire_names;
+  std::map<std::uint64_t, std::pair<Change::Sort, std::string>> asked;  // operators' calls under way
+  std::map<std::string, std::uint64_t> kinds;                           // refusals by kind
+  std::uint64_t wire_bytes = 0;
+  std::uint64_t bytes_far = 0;
+  Micros drain_until = -1;
+  int code = 0;
+  guint ticker = 0;
+};
+
+// What both programs share: settings, log, the data folder, the loop.
+int run_node(int argc, char** argv, Role role);
+
+}  // namespace pipit
--- /dev/null
+++ b/src/hull/http/front.cc
@@ -0,0 +1,309 @@
+#include "hull/http/front.h"
+
+#include <sys/socket.h>
+
+#include "ground/ip.h"
+#include "ground/micros.h"
+
+namespace pipit {
+
+namespace {
+constexpr guint body_ms = 10000;        // within which a caller's body must have come
+constexpr guint stuck_ms = 20000;       // for how long a caller may take nothing of what waits for it
+constexpr std::size_t waiting_most = 8u << 20;
+}  // namespace
+
+struct Front::Held {
+  Front* host = nullptr;
+  std::uint64_t id = 0;
+  SoupServerMessage* message = nullptr;
+  GSource* watch = nullptr;
+  guint timer = 0;
+  bool called = false;    // the whole request has come
+  bool answered = false;  // its answer is complete
+  bool stream = false;
+  bool breaking = false;
+  std::size_t put = 0;
+  std::size_t taken = 0;
+  std::size_t chunks_put = 0;
+  std::size_t chunks_gone = 0;
+  ~Held() {
+    if (timer != 0) g_source_remove(timer);
+    if (watch != nullptr) {
+      g_source_destroy(watch);
+      g_source_unref(watch);
+    }
+    if (message != nullptr) {
+      g_signal_handlers_disconnect_by_data(message, this);
+      g_object_unref(message);
+    }
+  }
+};
+
+Front::Front(Ears ears_, std::size_t body_most_) : ears(std::move(ears_)), body_most(body_most_) {}
+
+std::string Front::Call::header(char const* name) const {
+  char const* const value = soup_message_headers_get_one(head, name);
+  return value == nullptr ? "" : value;
+}
+
+Front::~Front() {
+  calls.clear();
+  if (server != nullptr) {
+    soup_server_disconnect(server);
+    g_object_unref(server);
+  }
+}
+
+Result<void> Front::listen(std::string const& address) {
+  std::string host;
+  std::uint16_t port = 0;
+  split_address(address, host, port);
+  server = soup_server_new("server-header", "pipitspool", nullptr);
+  g_signal_connect(server, "request-started", G_CALLBACK(on_started), this);
+  soup_server_add_early_handler(server, nullptr, on_headers, this, nullptr);
+  soup_server_add_handler(server, nullptr, on_call, this, nullptr);
+  GSocketAddress* const spot = g_inet_socket_address_new_from_string(host.c_str(), port);
+  GError* error = nullptr;
+  bool const good = soup_server_listen(server, spot, static_cast<SoupServerListenOptions>(0), &error);
+  g_object_unref(spot);
+  if (!good) {
+    std::string const why = error->message;
+    g_error_free(error);
+    return fail(Kind::bad_settings, "http: " + address + " cannot be listened on: " + why);
+  }
+  return boost::outcome_v2::success();
+}
+
+void Front::on_started(SoupServer*, SoupServerMessage* message, gpointer self) {
+  Front& host = *static_cast<Front*>(self);
+  std::unique_ptr<Held> held = std::make_unique<Held>();
+  held->host = &host;
+  held->id = ++host.next;
+  held->message = SOUP_SERVER_MESSAGE(g_object_ref(message));
+  g_object_set_data(G_OBJECT(message), "pipit", held.get());
+  g_signal_connect(message, "finished", G_CALLBACK(on_finished), held.get());
+  host.calls.emplace(held->id, std::move(held));
+}
+
+void Front::on_headers(SoupServer*, SoupServerMessage* message, char const*, GHashTable*, gpointer self) {
+  Front& host = *static_cast<Front*>(self);
+  Held* const held = static_cast<Held*>(g_object_get_data(G_OBJECT(message), "pipit"));
+  if (held == nullptr) return;
+  held->timer = g_timeout_add(body_ms, on_slow, held);
+  SoupMessageHeaders* const head = soup_server_message_get_request_headers(message);
+  if (soup_message_headers_get_encoding(head) == SOUP_ENCODING_CONTENT_LENGTH &&
+      soup_message_headers_get_content_length(head) > static_cast<goffset>(host.body_most)) {
+    ++host.broken;
+    held->called = true;
+    Answer const out = answer_for(Fault{Kind::too_large, "a body has at most " + std::to_string(host.body_most) + " bytes", ""});
+    soup_message_headers_replace(soup_server_message_get_response_headers(message), "Connection", "close");
+    host.answer(held->id, out);
+    return;
+  }
+  // A body without a stated length is counted as it comes.
+  g_signal_connect(message, "got-chunk",
+                   G_CALLBACK(+[](SoupServerMessage*, GBytes* chunk, gpointer data) {
+                     Held* const item = static_cast<Held*>(data);
+                     item->put += g_bytes_get_size(chunk);
+                     if (item->put > item->host->body_most && !item->called) {
+                       ++item->host->broken;
+                       item->host->abort(*item);
+                     }
+                   }),
+                   held);
+}
+
+gboolean Front::on_slow(gpointer data) {
+  Held& held = *static_cast<Held*>(data);
+  held.timer = 0;
+  if (held.called && held.put == held.taken) return G_SOURCE_REMOVE;
+  ++held.host->broken;
+  held.host->abort(held);
+  return G_SOURCE_REMOVE;
+}
+
+void Front::on_call(SoupServer*, SoupServerMessage* message, char const* path, GHashTable* query, gpointer self) {
+  Front& host = *static_cast<Front*>(self);
+  Held* const held = static_cast<Held*>(g_object_get_data(G_OBJECT(message), "pipit"));
+  if (held == nullptr || held->called) return;
+  held->called = true;
+  held->put = 0;
+  if (held->timer != 0) g_source_remove(held->timer);
+  held->timer = 0;
+  soup_server_message_pause(message);
+  g_signal_connect(message, "wrote-chunk", G_CALLBACK(on_wrote_chunk), held);
+  g_signal_connect(message, "wrote-body-data", G_CALLBACK(on_wrote_data), held);
+  // While an answer is awaited nothing is written, so a caller that hangs up would go unseen without this.
+  GSocket* const socket = soup_server_message_get_socket(message);
+  if (socket != nullptr) {
+    held->watch = g_socket_create_source(socket, static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR), nullptr);
+    g_source_set_callback(held->watch, G_SOURCE_FUNC(on_peer), held, nullptr);
+    g_source_attach(held->watch, nullptr);
+  }
+  Call call;
+  call.id = held->id;
+  call.method = soup_server_message_get_method(message);
+  call.path = path;
+  call.head = soup_server_message_get_request_headers(message);
+  SoupMessageBody* const body = soup_server_message_get_request_body(message);
+  GBytes* const bytes = soup_message_body_flatten(body);
+  gsize size = 0;
+  char const* const raw = static_cast<char const*>(g_bytes_get_data(bytes, &size));
+  if (raw != nullptr) call.body.assign(raw, size);
+  g_bytes_unref(bytes);
+  if (query != nullptr) {
+    GHashTableIter it;
+    gpointer key = nullptr;
+    gpointer value = nullptr;
+    g_hash_table_iter_init(&it, query);
+    while (g_hash_table_iter_next(&it, &key, &value)) call.query[static_cast<char const*>(key)] = value == nullptr ? "" : static_cast<char const*>(value);
+  }
+  host.ears.call(call);
+}
+
+gboolean Front::on_peer(GSocket* socket, GIOCondition condition, gpointer data) {
+  Held& held = *static_cast<Held*>(data);
+  char spot = 0;
+  ssize_t const n = ::recv(g_socket_get_fd(socket), &spot, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (n > 0) {
+    // The next request came early; it is libsoup's to read. Hang-ups are then seen when writing.
+    g_source_unref(held.watch);
+    held.watch = nullptr;
+    return G_SOURCE_REMOVE;
+  }
+  if (n < 0 && (errno == EAGAIN || errno == EINTR) && !(condition & (G_IO_HUP | G_IO_ERR))) return G_SOURCE_CONTINUE;
+  g_source_unref(held.watch);
+  held.watch = nullptr;
+  held.host->abort(held);
+  return G_SOURCE_REMOVE;
+}
+
+void Front::on_finished(SoupServerMessage*, gpointer data) {
+  Held& held = *static_cast<Held*>(data);
+  held.host->drop(held, true);
+}
+
+void Front::drop(Held& held, bool gone) {
+  std::uint64_t const id = held.id;
+  bool const tell = gone && held.called && !held.answered;
+  g_object_set_data(G_OBJECT(held.message), "pipit", nullptr);
+  std::map<std::uint64_t, std::unique_ptr<Held>>::iterator const spot = calls.find(id);
+  if (spot == calls.end()) return;
+  std::unique_ptr<Held> const last = std::move(spot->second);
+  calls.erase(spot);
+  if (tell) ears.gone(id);
+}
+
+// Ends the connection where it stands: the caller sees a body that was broken off.
+void Front::abort(Held& held) {
+  SoupServerMessage* const message = SOUP_SERVER_MESSAGE(g_object_ref(held.message));
+  drop(held, true);
+  GIOStream* const stream = soup_server_message_steal_connection(message);
+  if (stream != nullptr) {
+    GSocket* const socket = soup_server_message_get_socket(message);
+    if (socket != nullptr) g_socket_close(socket, nullptr);
+    g_io_stream_close_async(stream, G_PRIORITY_DEFAULT, nullptr, nullptr, nullptr);
+    g_object_unref(stream);
+  }
+  g_object_unref(message);
+}
+
+void Front::answer(std::uint64_t id, unsigned status, std::string const& type, std::string const& body, std::map<std::string, std::string> const& more) {
+  std::map<std::uint64_t, std::unique_ptr<Held>>::iterator const spot = calls.find(id);
+  if (spot == calls.end()) return;
+  Held& held = *spot->second;
+  held.answered = true;
+  if (held.watch != nullptr) {
+    g_source_destroy(held.watch);
+    g_source_unref(held.watch);
+    held.watch = nullptr;
+  }
+  SoupMessageHeaders* const head = soup_server_message_get_response_headers(held.message);
+  for (std::pair<std::string const, std::string> const& item : more) soup_message_headers_replace(head, item.first.c_str(), item.second.c_str());
+  if (last_calls) soup_message_headers_replace(head, "Connection", "close");
+  soup_server_message_set_status(held.message, status, nullptr);
+  soup_server_message_set_response(held.message, type.c_str(), SOUP_MEMORY_COPY, body.data(), body.size());
+  soup_server_message_unpause(held.message);
+}
+
+void Front::answer(std::uint64_t id, Answer const& out) {
+  std::map<std::string, std::string> more;
+  if (out.wait > 0) more["Retry-After"] = std::to_string((out.wait + seconds(1) - 1) / seconds(1));
+  answer(id, out.status, "application/json", out.body, more);
+}
+
+bool Front::streaming(std::uint64_t id) const {
+  std::map<std::uint64_t, std::unique_ptr<Held>>::const_iterator const spot = calls.find(id);
+  return spot != calls.end() && spot->second->stream;
+}
+
+void Front::piece(std::uint64_t id, std::string const& bytes, std::map<std::string, std::string> const& more) {
+  std::map<std::uint64_t, std::unique_ptr<Held>>::iterator const spot = calls.find(id);
+  if (spot == calls.end()) return;
+  Held& held = *spot->second;
+  SoupMessageBody* const body = soup_server_message_get_response_body(held.message);
+  if (!held.stream) {
+    held.stream = true;
+    SoupMessageHeaders* const head = soup_server_message_get_response_headers(held.message);
+    soup_server_message_set_status(held.message, 200, nullptr);
+    soup_message_headers_set_encoding(head, SOUP_ENCODING_CHUNKED);
+    soup_message_headers_replace(head, "Content-Type", "text/event-stream");
+    soup_message_headers_replace(head, "Cache-Control", "no-cache");
+    if (last_calls) soup_message_headers_replace(head, "Connection", "close");
+    for (std::pair<std::string const, std::string> const& item : more) soup_message_headers_replace(head, item.first.c_str(), item.second.c_str());
+    soup_message_body_set_accumulate(body, FALSE);
+  }
+  soup_message_body_append(body, SOUP_MEMORY_COPY, bytes.data(), bytes.size());
+  held.put += bytes.size();
+  ++held.chunks_put;
+  if (held.timer == 0) held.timer = g_timeout_add(stuck_ms, on_slow, &held);
+  if (held.put - held.taken > waiting_most) {
+    ++broken;
+    abort(held);
+    return;
+  }
+  soup_server_message_unpause(held.message);
+}
+
+void Front::on_wrote_data(SoupServerMessage*, guint size, gpointer data) {
+  Held& held = *static_cast<Held*>(data);
+  held.taken = std::min(held.put, held.taken + size);
+  if (held.timer != 0) g_source_remove(held.timer);
+  held.timer = held.put == held.taken ? 0 : g_timeout_add(stuck_ms, on_slow, &held);
+}
+
+void Front::on_wrote_chunk(SoupServerMessage*, gpointer data) {
+  Held& held = *static_cast<Held*>(data);
+  ++held.chunks_gone;
+  if (held.breaking && held.chunks_gone >= held.chunks_put) {
+    held.answered = true;
+    held.host->abort(held);
+  }
+}
+
+void Front::end(std::uint64_t id) {
+  std::map<std::uint64_t, std::unique_ptr<Held>>::iterator const spot = calls.find(id);
+  if (spot == calls.end()) return;
+  spot->second->answered = true;
+  soup_message_body_complete(soup_server_message_get_response_body(spot->second->message));
+  soup_server_message_unpause(spot->second->message);
+}
+
+void Front::break_off(std::uint64_t id, std::string const& last) {
+  std::map<std::uint64_t, std::unique_ptr<Held>>::iterator const spot = calls.find(id);
+  if (spot == calls.end()) return;
+  spot->second->breaking = true;
+  spot->second->answered = true;
+  piece(id, last);
+}
+
+void Front::closing() { last_calls = true; }
+
+void Front::stop_listening() {
+  GSList* const list = soup_server_get_listeners(server);
+  for (GSList* item = list; item != nullptr; item = item->next) g_socket_close(G_SOCKET(item->data), nullptr);
+  g_slist_free(list);
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/hull/http/front.h
@@ -0,0 +1,68 @@
+// The HTTP face of a node: callers and operators (§7, §8). It owns the server's sockets.
+#pragma once
+#include <libsoup/soup.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "ground/kinds.h"
+
+namespace pipit {
+
+class Front {
+ public:
+  // A request as it came, and the way to answer it. Held until it is answered or its caller has gone.
+  struct Call {
+    std::uint64_t id = 0;
+    std::string method;
+    std::string path;
+    std::map<std::string, std::string> query;
+    std::string body;
+    SoupMessageHeaders* head = nullptr;
+    std::string header(char const* name) const;
+  };
+  struct Ears {
+    std::function<void(Call const&)> call;
+    std::function<void(std::uint64_t id)> gone;  // the caller hung up before the answer ended
+  };
+  Front(Ears ears_, std::size_t body_most_);
+  ~Front();
+
+  Result<void> listen(std::string const& address);
+  void answer(std::uint64_t id, unsigned status, std::string const& type, std::string const& body, std::map<std::string, std::string> const& more = {});
+  void answer(std::uint64_t id, Answer const& answer);
+  // A stream: a head, pieces, and its end; or a last piece after which the body is broken off.
+  void piece(std::uint64_t id, std::string const& bytes, std::map<std::string, std::string> const& more = {});
+  void end(std::uint64_t id);
+  void break_off(std::uint64_t id, std::string const& last);
+  bool streaming(std::uint64_t id) const;
+  std::size_t open() const { return calls.size(); }
+  // From now on every answer closes its connection, and no new connection is taken.
+  void closing();
+  void stop_listening();
+  std::uint64_t broken = 0;  // bodies that were too large or too slow
+
+ private:
+  struct Held;
+  static void on_started(SoupServer*, SoupServerMessage* message, gpointer self);
+  static void on_headers(SoupServer*, SoupServerMessage* message, char const* path, GHashTable* query, gpointer self);
+  static void on_call(SoupServer*, SoupServerMessage* message, char const* path, GHashTable* query, gpointer self);
+  static void on_finished(SoupServerMessage* message, gpointer held);
+  static void on_wrote_chunk(SoupServerMessage* message, gpointer held);
+  static void on_wrote_data(SoupServerMessage* message, guint size, gpointer held);
+  static gboolean on_peer(GSocket* socket, GIOCondition condition, gpointer held);
+  static gboolean on_slow(gpointer data);
+  void drop(Held& held, bool gone);
+  void abort(Held& held);
+
+  Ears ears;
+  std::size_t const body_most;
+  SoupServer* server = nullptr;
+  std::uint64_t next = 0;
+  bool last_calls = false;
+  std::map<std::uint64_t, std::unique_ptr<Held>> calls;
+};
+
+}  // namespace pipit
--- /dev/null
+++ b/src/hull/http/legs.h
@@ -0,0 +1,54 @@
+// The executor of legs: sends a request to a worker and brings its answer, or what became of it (§7.3, §7.5).
+#pragma once
+#include <libsoup/soup.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "flow/errand/desk.h"
+#include "flow/errand/pieces.h"
+
+namespace pipit {
+
+class Legs {
+ public:
+  struct Ears {
+    std::function<void(std::uint64_t errand)> sent;
+    std::function<void(std::uint64_t errand, std::string const& event)> piece;  // one whole event of a stream
+    std::function<void(std::uint64_t errand, std::string body)> whole;          // a whole answer that is no stream
+    std::function<void(std::uint64_t errand, LegEnd end, std::string const& why, Micros back)> ended;
+  };
+  explicit Legs(Ears ears_);
+  ~Legs();
+
+  // 'id' is what the worker is told and must answer with.
+  void start(Start const& start, std::string const& id, std::string const& path, std::string const& body, bool stream);
+  void cut(std::uint64_t errand);
+  std::size_t open() const { return legs.size(); }
+
+  // One small GET, for lists and vitals; the answer is nullopt when it failed.
+  void get(std::string const& address, std::string const& path, Micros within, std::function<void(bool good, bool refused, std::string const& body)> done);
+
+ private:
+  struct Leg;
+  struct Fetch;
+  static void on_head(GObject* source, GAsyncResult* result, gpointer data);
+  static void on_body(GObject* source, GAsyncResult* result, gpointer data);
+  static void on_starting(SoupMessage* message, gpointer data);
+  static gboolean on_timer(gpointer data);
+  static void on_fetched(GObject* source, GAsyncResult* result, gpointer data);
+  void arm(Leg& leg, Micros within);
+  void read_more(Leg& leg);
+  void finish(Leg& leg, LegEnd end, std::string const& why, Micros back = 0);
+  void took(Leg& leg, std::string_view bytes);
+  void eof(Leg& leg);
+
+  Ears ears;
+  SoupSession* session;
+  SoupSession* small;
+  std::map<std::uint64_t, std::shared_ptr<Leg>> legs;  // by errand: one leg at a time
+};
+
+}  // namespace pipit
--- /dev/null
+++ b/src/kin/frame.cc
@@ -0,0 +1,23 @@
+#include "kin/frame.h"
+
+namespace pipit {
+
+std::size_t announced(std::string_view head) {
+  if (head.size() < 4) return 0;
+  std::size_t size = 0;
+  for (int i = 3; i >= 0; --i) size = (size << 8) | static_cast<unsigned char>(head[static_cast<std::size_t>(i)]);
+  return size >= 8 && size <= frame_limit ? size : 0;
+}
+
+Result<std::unique_ptr<wire::FrameT>> decode(std::string_view bytes) {
+  std::size_t const size = announced(bytes);
+  if (size == 0 || size + 4 != bytes.size()) return fail(Kind::bad_request, "the frame's length is wrong");
+  flatbuffers::Verifier check(reinterpret_cast<std::uint8_t const*>(bytes.data()), bytes.size(), 16, 2000000);
+  if (!check.VerifySizePrefixedBuffer<wire::Frame>(nullptr)) return fail(Kind::bad_request, "the frame does not verify");
+  std::unique_ptr<wire::FrameT> frame(flatbuffers::GetSizePrefixedRoot<wire::Frame>(bytes.data())->UnPack());
+  if (frame->body.type == wire::Body::NONE || frame->body.value == nullptr)
+    return fail(Kind::bad_request, "the frame has no body");
+  return frame;
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/kin/frame.h
@@ -0,0 +1,29 @@
+// Frames: encoded, bounded and checked before anything looks inside (§3.2).
+#pragma once
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "ground/kinds.h"
+#include "wire_generated.h"
+
+namespace pipit {
+
+constexpr std::size_t frame_limit = 8u << 20;
+
+// A frame as it crosses a wire: four bytes of length, little end first, then the FlatBuffers body.
+template <class T>
+std::string encode(T&& body) {
+  wire::FrameT frame;
+  frame.body.Set(std::forward<T>(body));
+  flatbuffers::FlatBufferBuilder space(512);
+  space.FinishSizePrefixed(wire::Frame::Pack(space, &frame));
+  return std::string(reinterpret_cast<char const*>(space.GetBufferPointer()), space.GetSize());
+}
+
+// The length that the first four bytes announce, or 0 when it is not to be believed.
+std::size_t announced(std::string_view head);
+// Takes one whole frame with its four bytes of length.
+Result<std::unique_ptr<wire::FrameT>> decode(std::string_view bytes);
+
+}  // namespace pipit
--- /dev/null
+++ b/src/kin/ledger/ledger.h
@@ -0,0 +1,51 @@
+// Entries of workers: last writer wins by Lamport clock, then by node; resent until acked, relayed (§3.5).
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "ground/micros.h"
+#include "wire_generated.h"
+
+namespace pipit {
+
+enum class Standing : std::uint8_t { serving, leaving, gone };
+
+class Ledger {
+ public:
+  explicit Ledger(std::string self_) : self(std::move(self_)) {}
+
+  // Writes an entry that this node took; true when it said something new.
+  bool put(wire::EntryT item, Micros now);
+  // Takes a peer's entry; true when it was newer.
+  bool merge(std::string const& from, wire::EntryT const& item, Micros now);
+  // A wire to the peer opened: it is owed everything.
+  void owe_all(std::string const& peer);
+  void drop(std::string const& peer) { owed.erase(peer); }
+  // The next batch for the peer: what was never sent to it, and with 'again' also what it has not acked.
+  wire::EntriesT batch(std::string const& peer, bool again);
+  void acked(std::string const& peer, std::uint64_t batch);
+  void forget(Micros now, Micros age);
+
+  std::map<std::string, wire::EntryT> const& all() const { return items; }
+
+ private:
+  struct Owed {
+    std::uint64_t stamp = 0;
+    bool flown = false;
+  };
+  struct Debt {
+    std::map<std::string, Owed> keys;
+    std::map<std::uint64_t, std::vector<std::pair<std::string, std::uint64_t>>> flying;
+  };
+  void owe(std::string const& but, std::string const& key, std::uint64_t stamp);
+
+  std::string const self;
+  std::uint64_t clock = 0;
+  std::uint64_t next = 0;
+  std::map<std::string, wire::EntryT> items;
+  std::map<std::string, Micros> gone_at;
+  std::map<std::string, Debt> owed;
+};
+
+}  // namespace pipit
--- /dev/null
+++ b/src/kin/mesh.cc
@@ -0,0 +1,380 @@
+#include "kin/mesh.h"
+
+#include <algorithm>
+
+#include "ground/events.h"
+
+namespace pipit {
+
+Mesh::Mesh(MeshPlan plan_, wire::MemberT self, std::uint64_t seed)
+    : roll(self), ledger(self.name), plan(std::move(plan_)), dice(seed) {
+  for (std::string const& address : plan.seeds)
+    if (address != self.address) seeds.push_back({address, 0, 0, false});
+}
+
+void Mesh::retell(Sends& out) {
+  ++roll.self.bump;
+  tell_member(roll.self, out);
+}
+
+void Mesh::leave(Sends& out) {
+  roll.self.state = static_cast<std::uint8_t>(State::leaving);
+  retell(out);
+}
+
+void Mesh::tell_member(wire::MemberT const& member, Sends& out) {
+  for (std::pair<std::string const, Peer> const& item : roll.peers) {
+    if (item.second.wire == 0) continue;
+    wire::NewsT news;
+    news.table.push_back(std::make_unique<wire::MemberT>(member));
+    post(item.first, std::move(news), out);
+  }
+}
+
+std::vector<std::string> Mesh::perhaps_live() const {
+  std::vector<std::string> out;
+  for (std::pair<std::string const, Peer> const& item : roll.peers) {
+    Peer const& peer = item.second;
+    bool const left = peer.state() == State::leaving && peer.wire == 0;
+    bool const dead = peer.wire == 0 && peer.refused;
+    if (!left && !dead) out.push_back(item.first);
+  }
+  return out;
+}
+
+void Mesh::opened(WireId id, bool outbound, std::string const& address, Micros now, Sends& out) {
+  wires[id] = Wire{"", outbound, address, now, now};
+  if (outbound) {
+    for (Seed& seed : seeds)
+      if (seed.address == address) seed.dialling = false;
+    for (std::pair<std::string const, Peer>& item : roll.peers)
+      if (item.second.member.address == address) item.second.dialling = false;
+  }
+  wire::HelloT hello;
+  hello.cluster = plan.cluster;
+  hello.self = std::make_unique<wire::MemberT>(roll.self);
+  out.sends.push_back({id, encode(std::move(hello))});
+}
+
+void Mesh::unbind(WireId id, Micros now) {
+  std::map<WireId, Wire>::iterator const spot = wires.find(id);
+  if (spot == wires.end()) return;
+  std::string const name = spot->second.peer;
+  wires.erase(spot);
+  if (name.empty()) return;
+  tell(Event::wire_shut, name);
+  std::map<std::string, Peer>::iterator const who = roll.peers.find(name);
+  if (who == roll.peers.end() || who->second.wire != id) return;
+  who->second.wire = 0;
+  for (std::pair<WireId const, Wire> const& item : wires)
+    if (item.second.peer == name) who->second.wire = item.first;
+  if (who->second.wire != 0) return;
+  who->second.bare_since = now;
+  who->second.next_dial = now;  // §3.4: a wire that ends is a hint; look at once
+  who->second.pause = 0;
+  ledger.drop(name);
+}
+
+void Mesh::shut(WireId id, Micros now, Sends& out) {
+  std::map<WireId, Wire>::const_iterator const spot = wires.find(id);
+  if (spot == wires.end()) return;
+  std::string const name = spot->second.peer;
+  unbind(id, now);
+  std::map<std::string, Peer>::iterator const who = roll.peers.find(name);
+  if (who == roll.peers.end() || who->second.wire != 0) return;
+  State const state = who->second.state();
+  if (state == State::alive || state == State::suspected) probe(who->second, now, out);
+}
+
+void Mesh::dial_failed(std::string const& address, bool refused, Micros now, Sends& out) {
+  for (Seed& seed : seeds)
+    if (seed.address == address) seed.dialling = false;
+  for (std::pair<std::string const, Peer>& item : roll.peers) {
+    Peer& peer = item.second;
+    if (peer.member.address != address) continue;
+    peer.dialling = false;
+    if (peer.wire != 0) continue;
+    peer.refused = refused;
+    // A refusal is proof that no process is there: the probe need not run out its time.
+    if (refused && (peer.state() == State::alive || peer.state() == State::suspected)) {
+      for (std::map<std::uint64_t, Probe>::iterator it = probes.begin(); it != probes.end();)
+        it = it->second.peer == item.first ? probes.erase(it) : std::next(it);
+      probe_failed(item.first, now, out);
+    }
+  }
+}
+
+void Mesh::dial(Peer& peer, Micros now, Sends& out) {
+  if (peer.dialling || peer.wire != 0 || now < peer.next_dial) return;
+  for (Seed const& seed : seeds)
+    if (seed.dialling && seed.address == peer.member.address) return;
+  peer.pause = std::clamp(peer.pause * 2, plan.knock, plan.knock_most);
+  peer.next_dial = now + peer.pause;
+  // An entry machine was exchanged: another name answers at this address, so this one is no more (§3.3).
+  for (std::pair<std::string const, Peer> const& item : roll.peers)
+    if (item.second.wire != 0 && item.second.member.address == peer.member.address) {
+      peer.refused = true;
+      return;
+    }
+  peer.dialling = true;
+  out.dials.push_back(peer.member.address);
+}
+
+void Mesh::dials(Micros now, Sends& out) {
+  for (std::pair<std::string const, Peer>& item : roll.peers) {
+    Peer& peer = item.second;
+    if (peer.wire != 0 || peer.state() == State::leaving) continue;
+    // §3.2: the name that sorts first opens the pair's wire; the other steps in when none has come.
+    if (roll.self.name < item.first || now - peer.bare_since > plan.round) dial(peer, now, out);
+  }
+  for (Seed& seed : seeds) {
+    if (seed.dialling || now < seed.next_dial) continue;
+    bool known = false;
+    for (std::pair<std::string const, Peer> const& item : roll.peers)
+      if (item.second.member.address == seed.address && item.second.state() != State::leaving) known = true;
+    for (std::pair<WireId const, Wire> const& item : wires)
+      if (item.second.outbound && item.second.address == seed.address) known = true;
+    for (std::pair<std::string const, Peer> const& item : roll.peers)
+      if (item.second.dialling && item.second.member.address == seed.address) known = true;
+    if (known) continue;
+    seed.pause = std::clamp(seed.pause * 2, plan.knock, plan.knock_most);
+    seed.next_dial = now + seed.pause;
+    seed.dialling = true;
+    out.dials.push_back(seed.address);
+  }
+}
+
+void Mesh::probe(Peer& peer, Micros now, Sends& out) {
+  for (std::pair<std::uint64_t const, Probe> const& item : probes)
+    if (item.second.peer == peer.member.name) return;
+  std::uint64_t const seq = ++next_seq;
+  probes[seq] = Probe{peer.member.name, false, now + plan.probe};
+  if (peer.wire == 0) {
+    dial(peer, now, out);
+    return;
+  }
+  wire::PingT ping;
+  ping.seq = seq;
+  ping.table = roll.table();
+  post(peer.member.name, std::move(ping), out);
+}
+
+void Mesh::probe_done(std::uint64_t seq, Micros now) {
+  std::map<std::uint64_t, Probe>::iterator const spot = probes.find(seq);
+  if (spot == probes.end()) return;
+  std::map<std::string, Peer>::iterator const who = roll.peers.find(spot->second.peer);
+  if (who != roll.peers.end()) who->second.refused = false;
+  probes.erase(spot);
+}
+
+void Mesh::probe_failed(std::string const& name, Micros now, Sends& out) {
+  std::map<std::string, Peer>::iterator const who = roll.peers.find(name);
+  if (who == roll.peers.end()) return;
+  Peer& peer = who->second;
+  if (peer.state() == State::alive) {
+    roll.mark(peer, State::suspected, now);
+  } else if (peer.state() == State::suspected) {
+    roll.mark(peer, State::down, now);
+    if (peer.wire != 0) {
+      out.shuts.push_back(peer.wire);
+      unbind(peer.wire, now);
+    }
+  } else {
+    return;
+  }
+  tell_member(peer.member, out);
+}
+
+void Mesh::tick(Micros now, Sends& out) {
+  for (std::map<std::uint64_t, Probe>::iterator it = probes.begin(); it != probes.end();) {
+    if (now < it->second.due) {
+      ++it;
+      continue;
+    }
+    std::string const name = it->second.peer;
+    std::uint64_t const seq = it->first;
+    if (!it->second.indirect) {
+      it->second.indirect = true;
+      it->second.due = now + plan.probe;
+      std::vector<std::string> hands;
+      for (std::pair<std::string const, Peer> const& item : roll.peers)
+        if (item.first != name && item.second.wire != 0 && item.second.state() == State::alive)
+          hands.push_back(item.first);
+      int asked = 0;
+      while (!hands.empty() && asked < 3) {
+        std::size_t const pick = dice.below(hands.size());
+        wire::PingReqT req;
+        req.seq = seq;
+        req.target = name;
+        post(hands[pick], std::move(req), out);
+        hands.erase(hands.begin() + static_cast<std::ptrdiff_t>(pick));
+        ++asked;
+      }
+      if (asked > 0) {
+        ++it;
+        continue;
+      }
+    }
+    it = probes.erase(it);
+    probe_failed(name, now, out);
+  }
+  for (std::map<std::uint64_t, Relay>::iterator it = relays.begin(); it != relays.end();)
+    it = now >= it->second.due ? relays.erase(it) : std::next(it);
+
+  if (now >= next_round) {
+    next_round = now + plan.round;
+    std::vector<Peer*> field;
+    for (std::pair<std::string const, Peer>& item : roll.peers) {
+      State const state = item.second.state();
+      if (state == State::alive) field.push_back(&item.second);
+      if (state == State::suspected) probe(item.second, now, out);
+    }
+    if (!field.empty()) probe(*field[dice.below(field.size())], now, out);
+    flush_entries(out, true);
+    roll.forget(now, plan.forget);
+    ledger.forget(now, plan.forget);
+    std::vector<WireId> stale;
+    for (std::pair<WireId const, Wire> const& item : wires) {
+      bool const mute = item.second.peer.empty() && now - item.second.opened > seconds(5);
+      if (mute || now - item.second.heard > plan.idle) stale.push_back(item.first);
+    }
+    for (WireId const id : stale) {
+      out.shuts.push_back(id);
+      unbind(id, now);
+    }
+  }
+  dials(now, out);
+}
+
+void Mesh::flush_entries(Sends& out, bool again) {
+  for (std::pair<std::string const, Peer> const& item : roll.peers) {
+    if (item.second.wire == 0) continue;
+    wire::EntriesT batch = ledger.batch(item.first, again);
+    if (!batch.list.empty()) post(item.first, std::move(batch), out);
+  }
+}
+
+void Mesh::greet(WireId id, wire::HelloT const& hello, Micros now, Sends& out) {
+  if (hello.cluster != plan.cluster || !hello.self || hello.self->name.empty() || hello.self->name == roll.self.name) {
+    tell(Event::wire_foreign, hello.cluster);
+    out.shuts.push_back(id);
+    unbind(id, now);
+    return;
+  }
+  std::string const& name = hello.self->name;
+  wires[id].peer = name;
+  if (roll.merge(*hello.self, now) == Roll::News::fresh) tell_member(*hello.self, out);
+  Peer& peer = roll.peers.at(name);
+  peer.refused = false;
+  if (peer.wire != 0 && peer.wire != id) {
+    // §3.2: of two wires the one stays that the name sorting first opened. Of two by the same opener only the
+    // opener ends one: the two sides may have seen them in different orders.
+    bool const old_mine = wires[peer.wire].outbound;
+    bool const new_mine = wires[id].outbound;
+    bool const self_first = roll.self.name < name;
+    if (old_mine == new_mine) {
+      if (new_mine) {
+        out.shuts.push_back(peer.wire);
+        wires.erase(peer.wire);
+      }
+    } else {
+      WireId const loser = old_mine == self_first ? id : peer.wire;
+      out.shuts.push_back(loser);
+      wires.erase(loser);
+      if (loser == id) return;
+    }
+  } else {
+    tell(Event::wire_open, name);
+  }
+  peer.wire = id;
+  peer.pause = 0;
+  // The greeting answers a probe that was waiting for a wire.
+  for (std::map<std::uint64_t, Probe>::iterator it = probes.begin(); it != probes.end();)
+    it = it->second.peer == name ? probes.erase(it) : std::next(it);
+  ledger.owe_all(name);
+  // §3.3: the peer learns what is said of it, and answers with a higher bump if it is wrong.
+  wire::NewsT news;
+  news.table = roll.table();
+  post(name, std::move(news), out);
+  flush_entries(out);
+}
+
+void Mesh::take_table(std::vector<std::unique_ptr<wire::MemberT>> const& table, Micros now, Sends& out) {
+  for (std::unique_ptr<wire::MemberT> const& item : table) {
+    Roll::News const news = roll.merge(*item, now);
+    if (news == Roll::News::refuted) tell_member(roll.self, out);
+  }
+}
+
+std::string Mesh::frame(WireId id, wire::FrameT& frame, Micros now, Sends& out) {
+  std::map<WireId, Wire>::iterator const spot = wires.find(id);
+  if (spot == wires.end()) return "";
+  ++frames_in;
+  spot->second.heard = now;
+  if (wire::HelloT const* const hello = frame.body.AsHello()) {
+    if (spot->second.peer.empty()) greet(id, *hello, now, out);
+    return "";
+  }
+  std::string const name = spot->second.peer;
+  if (name.empty()) {
+    tell(Event::wire_garbage, "a frame before the greeting");
+    out.shuts.push_back(id);
+    unbind(id, now);
+    return "";
+  }
+  switch (frame.body.type) {
+    case wire::Body::Ping: {
+      wire::PingT const& ping = *frame.body.AsPing();
+      take_table(ping.table, now, out);
+      wire::PongT pong;
+      pong.seq = ping.seq;
+      pong.table = roll.table();
+      out.sends.push_back({id, encode(std::move(pong))});
+      return "";
+    }
+    case wire::Body::Pong: {
+      wire::PongT const& pong = *frame.body.AsPong();
+      take_table(pong.table, now, out);
+      probe_done(pong.seq, now);
+      std::map<std::uint64_t, Relay>::iterator const relay = relays.find(pong.seq);
+      if (relay != relays.end()) {
+        wire::PingResT res;
+        res.seq = relay->second.seq;
+        res.target = name;
+        res.ok = true;
+        if (wires.count(relay->second.asker)) out.sends.push_back({relay->second.asker, encode(std::move(res))});
+        relays.erase(relay);
+      }
+      return "";
+    }
+    case wire::Body::PingReq: {
+      wire::PingReqT const& req = *frame.body.AsPingReq();
+      std::uint64_t const seq = ++next_seq;
+      wire::PingT ping;
+      ping.seq = seq;
+      ping.table = roll.table();
+      if (post(req.target, std::move(ping), out)) relays[seq] = Relay{id, req.seq, now + plan.probe};
+      return "";
+    }
+    case wire::Body::PingRes: {
+      wire::PingResT const& res = *frame.body.AsPingRes();
+      if (res.ok) probe_done(res.seq, now);
+      return "";
+    }
+    case wire::Body::News: take_table(frame.body.AsNews()->table, now, out); return "";
+    case wire::Body::Entries: {
+      wire::EntriesT const& list = *frame.body.AsEntries();
+      for (std::unique_ptr<wire::EntryT> const& item : list.list)
+        if (ledger.merge(name, *item, now)) fresh.push_back(item->key);
+      wire::EntriesAckT ack;
+      ack.batch = list.batch;
+      out.sends.push_back({id, encode(std::move(ack))});
+      if (!fresh.empty()) flush_entries(out);
+      return "";
+    }
+    case wire::Body::EntriesAck: ledger.acked(name, frame.body.AsEntriesAck()->batch); return "";
+    default: return name;
+  }
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/kin/mesh.h
@@ -0,0 +1,106 @@
+// The mesh: one wire for each pair, SWIM rounds over it, entries and news (§3).
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "ground/mix.h"
+#include "kin/effects.h"
+#include "kin/frame.h"
+#include "kin/ledger/ledger.h"
+#include "kin/roll/roll.h"
+
+namespace pipit {
+
+struct MeshPlan {
+  std::string cluster;
+  std::vector<std::string> seeds;
+  Micros round = seconds(1);
+  Micros probe = millis(500);       // how long a direct, then an indirect probe may take
+  Micros knock = millis(250);       // first pause between dials
+  Micros knock_most = seconds(2);   // the low, capped rate for DOWN peers and seeds
+  Micros idle = seconds(60);
+  Micros forget = seconds(1800);
+};
+
+class Mesh {
+ public:
+  Mesh(MeshPlan plan_, wire::MemberT self, std::uint64_t seed);
+
+  void tick(Micros now, Sends& out);
+  void opened(WireId id, bool outbound, std::string const& address, Micros now, Sends& out);
+  void shut(WireId id, Micros now, Sends& out);
+  void dial_failed(std::string const& address, bool refused, Micros now, Sends& out);
+
+  // Handles the mesh's own frames. For any other it returns the sender's name, for the planes above.
+  std::string frame(WireId id, wire::FrameT& frame, Micros now, Sends& out);
+
+  template <class T>
+  bool post(std::string const& name, T&& body, Sends& out) {
+    std::map<std::string, Peer>::const_iterator const spot = roll.peers.find(name);
+    if (spot == roll.peers.end() || spot->second.wire == 0) return false;
+    out.sends.push_back({spot->second.wire, encode(std::forward<T>(body))});
+    return true;
+  }
+
+  // This node's own record changed: a higher bump, told at once.
+  void retell(Sends& out);
+  void leave(Sends& out);
+  // New entries go out without waiting for the round; the round sends again what was not acked.
+  void flush_entries(Sends& out, bool again = false);
+
+  // Members that may still serve: not those that left, nor those whose address refuses a dial (§5.5).
+  std::vector<std::string> perhaps_live() const;
+
+  Roll roll;
+  Ledger ledger;
+  std::vector<std::string> fresh;  // keys of entries that peers brought since the core last looked
+  std::uint64_t frames_in = 0;
+  std::uint64_t wires_open() const { return wires.size(); }
+
+ private:
+  struct Wire {
+    std::string peer;
+    bool outbound = false;
+    std::string address;
+    Micros opened = 0;
+    Micros heard = 0;
+  };
+  struct Probe {
+    std::string peer;
+    bool indirect = false;
+    Micros due = 0;
+  };
+  struct Relay {
+    WireId asker = 0;
+    std::uint64_t seq = 0;
+    Micros due = 0;
+  };
+  struct Seed {
+    std::string address;
+    Micros next_dial = 0;
+    Micros pause = 0;
+    bool dialling = false;
+  };
+
+  void greet(WireId id, wire::HelloT const& hello, Micros now, Sends& out);
+  void take_table(std::vector<std::unique_ptr<wire::MemberT>> const& table, Micros now, Sends& out);
+  void probe(Peer& peer, Micros now, Sends& out);
+  void probe_failed(std::string const& name, Micros now, Sends& out);
+  void probe_done(std::uint64_t seq, Micros now);
+  void tell_member(wire::MemberT const& member, Sends& out);
+  void dials(Micros now, Sends& out);
+  void dial(Peer& peer, Micros now, Sends& out);
+  void unbind(WireId id, Micros now);
+
+  MeshPlan const plan;
+  Dice dice;
+  Micros next_round = 0;
+  std::uint64_t next_seq = 0;
+  std::map<WireId, Wire> wires;
+  std::map<std::uint64_t, Probe> probes;
+  std::map<std::uint64_t, Relay> relays;
+  std::vector<Seed> seeds;
+};
+
+}  // namespace pipit
--- /dev/null
+++ b/src/kin/roll/roll.cc
@@ -0,0 +1,96 @@
+#include "kin/roll/roll.h"
+
+#include <tuple>
+
+#include "ground/events.h"
+
+namespace pipit {
+
+char const* state_word(State state) {
+  static char const* const words[] = {"alive", "suspected", "down", "leaving"};
+  return words[static_cast<std::size_t>(state) & 3];
+}
+
+namespace {
+std::tuple<std::uint64_t, std::uint64_t, std::uint8_t> rank(wire::MemberT const& m) {
+  return {m.incarnation, m.bump, m.state};
+}
+void announce(std::string const& name, State state) {
+  switch (state) {
+    case State::alive: tell(Event::peer_alive, name); break;
+    case State::suspected: tell(Event::peer_suspected, name); break;
+    case State::down: tell(Event::peer_down, name); break;
+    case State::leaving: tell(Event::peer_leaving, name); break;
+  }
+}
+}  // namespace
+
+Roll::News Roll::merge(wire::MemberT const& item, Micros now) {
+  if (item.name.empty() || item.state > 3) return News::none;
+  if (item.name == self.name) {
+    // §3.3: news about this node itself. An older life's record only raises the incarnation; a wrong state is refuted.
+    bool const elder = item.incarnation > self.incarnation;
+    bool const wrong = item.incarnation == self.incarnation && item.bump >= self.bump && item.state != self.state;
+    if (!elder && !wrong) return News::none;
+    if (elder) self.incarnation = item.incarnation + 1;
+    self.bump = std::max(self.bump, item.bump) + 1;
+    tell(Event::self_refuted, "incarnation " + std::to_string(self.incarnation));
+    return News::refuted;
+  }
+  std::map<std::string, Peer>::iterator const spot = peers.find(item.name);
+  if (spot == peers.end()) {
+    Peer peer;
+    peer.member = item;
+    peer.since = now;
+    peer.bare_since = now;
+    peers.emplace(item.name, std::move(peer));
+    announce(item.name, static_cast<State>(item.state));
+    return News::fresh;
+  }
+  Peer& peer = spot->second;
+  if (rank(item) <= rank(peer.member)) return News::none;
+  State const old = peer.state();
+  if (item.incarnation > peer.member.incarnation) peer.refused = false;
+  if (item.address != peer.member.address) peer.next_dial = 0;
+  peer.member = item;
+  if (peer.state() != old) {
+    peer.since = now;
+    announce(item.name, peer.state());
+  }
+  return News::fresh;
+}
+
+void Roll::mark(Peer& peer, State state, Micros now) {
+  if (peer.state() == state) return;
+  peer.member.state = static_cast<std::uint8_t>(state);
+  peer.since = now;
+  announce(peer.member.name, state);
+}
+
+std::vector<std::unique_ptr<wire::MemberT>> Roll::table() const {
+  std::vector<std::unique_ptr<wire::MemberT>> out;
+  out.push_back(std::make_unique<wire::MemberT>(self));
+  for (std::pair<std::string const, Peer> const& item : peers)
+    out.push_back(std::make_unique<wire::MemberT>(item.second.member));
+  return out;
+}
+
+void Roll::forget(Micros now, Micros age) {
+  for (std::map<std::string, Peer>::iterator it = peers.begin(); it != peers.end();) {
+    Peer const& peer = it->second;
+    bool const out = peer.state() == State::down || peer.state() == State::leaving;
+    if (out && peer.wire == 0 && now - peer.since > age)
+      it = peers.erase(it);
+    else
+      ++it;
+  }
+}
+
+std::size_t Roll::known(Role role) const {
+  std::size_t n = static_cast<Role>(self.role) == role ? 1 : 0;
+  for (std::pair<std::string const, Peer> const& item : peers)
+    if (item.second.role() == role) ++n;
+  return n;
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/kin/roll/roll.h
@@ -0,0 +1,48 @@
+// The roll: who is in the mesh, by SWIM's states with incarnations (§3.3).
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "ground/micros.h"
+#include "wire_generated.h"
+
+namespace pipit {
+
+enum class State : std::uint8_t { alive, suspected, down, leaving };
+enum class Role : std::uint8_t { passage, accord };
+char const* state_word(State state);
+
+struct Peer {
+  wire::MemberT member;
+  Micros since = 0;        // when its state last changed here
+  std::uint64_t wire = 0;  // the pair's wire, 0 for none
+  Micros bare_since = 0;   // since when there is none
+  Micros next_dial = 0;
+  Micros pause = 0;
+  bool dialling = false;
+  bool refused = false;  // its address refused a dial since it was last heard: no process is there
+  State state() const { return static_cast<State>(member.state); }
+  Role role() const { return static_cast<Role>(member.role); }
+};
+
+class Roll {
+ public:
+  explicit Roll(wire::MemberT self_) : self(std::move(self_)) {}
+
+  enum class News { none, fresh, refuted };
+  // Takes one record of a table; tells whether it changed anything here.
+  News merge(wire::MemberT const& item, Micros now);
+  // This node's own finding about a peer.
+  void mark(Peer& peer, State state, Micros now);
+  std::vector<std::unique_ptr<wire::MemberT>> table() const;
+  void forget(Micros now, Micros age);
+
+  wire::MemberT self;
+  std::map<std::string, Peer> peers;
+
+  // How many nodes of a role are known, this one with them, whatever their state.
+  std::size_t known(Role role) const;
+};
+
+}  // namespace pipit
--- /dev/null
+++ b/tests/tongue.cc
@@ -0,0 +1,96 @@
+// The language and the description: what is taken, and where a refusal points.
+#include <gtest/gtest.h>
+
+#include "canon/creed/creed.h"
+
+namespace pipit {
+
+TEST(Tongue, conditions_bind_as_written) {
+  struct Row {
+    char const* code;
+    bool small;  // for a body of 10 bytes that streams
+    bool large;  // for one of 90000 that does not
+  };
+  Row const rows[] = {
+      {"size < 100", true, false},
+      {"size >= 90k or stream", true, true},
+      {"not stream and size > 5", false, true},
+      {"not (stream and size > 5)", false, true},
+      {"model starts \"tri\" and (stream or size = 90000)", true, true},
+      {"model != \"tribute\"", false, false},
+      {"always", true, true},
+  };
+  for (Row const& row : rows) {
+    Result<Binding> const made = compile_binding("match " + std::string(row.code) + "; pool p");
+    ASSERT_TRUE(made) << row.code << ": " << made.error().why;
+    Facts facts;
+    facts.model = "tribute";
+    facts.size = 10;
+    facts.stream = true;
+    EXPECT_EQ(made.value().match.holds(facts, 0), row.small) << row.code;
+    facts.size = 90000;
+    facts.stream = false;
+    EXPECT_EQ(made.value().match.holds(facts, 0), row.large) << row.code;
+  }
+}
+
+TEST(Tongue, refusals_name_their_place) {
+  struct Row {
+    char const* code;
+    char const* place;
+  };
+  Row const bindings[] = {
+      {"match size << 3; pool p", "line 1, column 13"},
+      {"match size < \"x\"; pool p", "line 1, column 14"},
+      {"match colour = \"x\"; pool p", "line 1, column 7"},
+      {"match (stream; pool p", "line 1, column 14"},
+      {"match stream;\npool p;\npool p", "line 3, column 6"},
+      {"pool p", "line 1, column 1"},
+      {"match stream", "line 1, column 1"},
+      {"match demand > 3%; pool p", "line 1, column 1"},
+      {"match model = \"x; pool p", "line 1, column 15"},
+      {"match always; pool p when demand > 3", "line 1, column 36"},
+  };
+  for (Row const& row : bindings) {
+    Result<Binding> const made = compile_binding(row.code);
+    ASSERT_FALSE(made) << row.code;
+    EXPECT_EQ(made.error().place, row.place) << row.code << ": " << made.error().why;
+    EXPECT_EQ(made.error().kind, Kind::bad_language);
+  }
+  for (char const* const code : {"wait 2", "wait 0s", "urgency 10", "repeat maybe", "wait 1s; wait 2s", "colour red", "tries 0", "wait 1s urgency 2"})
+    EXPECT_FALSE(compile_policy(code)) << code;
+  Result<Policy> const good = compile_policy("wait 800ms; urgency 7; repeat safe; backlog 9; tries 3; answer 1m; stall 5s; locality only");
+  ASSERT_TRUE(good);
+  EXPECT_EQ(good.value().wait, millis(800));
+  EXPECT_EQ(good.value().answer, seconds(60));
+  EXPECT_TRUE(good.value().safe);
+}
+
+TEST(Creed, refusals_name_their_path) {
+  struct Row {
+    char const* text;
+    Kind kind;
+    char const* place;
+  };
+  Row const rows[] = {
+      {"{\"format\":1,\n \"pools\":[}", Kind::bad_json, "line 2, column 11"},
+      {"", Kind::bad_json, "line 1, column 1"},
+      {"[]", Kind::bad_description, "$"},
+      {"{\"format\":1,\"pools\":[]}", Kind::bad_description, "$"},
+      {"{\"format\":2,\"pools\":[],\"lanes\":[]}", Kind::bad_description, "$.format"},
+      {"{\"format\":1,\"format\":1,\"pools\":[],\"lanes\":[]}", Kind::bad_description, "$.format"},
+      {"{\"format\":1,\"pools\":[{\"name\":\"a\",\"model\":\"m\",\"size\":1}],\"lanes\":[]}", Kind::bad_description, "$.pools[0].size"},
+      {"{\"format\":1,\"pools\":[{\"name\":\"a\",\"model\":\"m\",\"slots\":0}],\"lanes\":[]}", Kind::bad_description, "$.pools[0].slots"},
+      {"{\"format\":1,\"pools\":[],\"lanes\":[{\"name\":\"l\",\"binding\":\"match always; pool a\"}]}", Kind::bad_description, "$.lanes[0].binding"},
+      {"{\"format\":1,\"pools\":[],\"lanes\":[{\"name\":\"l\",\"binding\":\"match; pool a\"}]}", Kind::bad_language, "$.lanes[0].binding: line 1, column 6"},
+  };
+  for (Row const& row : rows) {
+    Result<std::shared_ptr<Creed const>> const made = read_creed(row.text);
+    ASSERT_FALSE(made) << row.text;
+    EXPECT_EQ(made.error().kind, row.kind) << row.text;
+    EXPECT_EQ(made.error().place, row.place) << row.text << ": " << made.error().why;
+  }
+  EXPECT_EQ(read_creed(std::string(creed_limit + 1, ' ')).error().kind, Kind::too_large);
+}
+
+}  // namespace pipit
