--- a/proof/chorus/main.cc
+++ b/proof/chorus/main.cc
@@ -1,1 +1,440 @@
-int main() { return 0; }
+// chorus: many callers, who judge every answer they get against what the workers wrote down (§10.2).
+#include <libsoup/soup.h>
+#include <simdjson.h>
+
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "flow/errand/pieces.h"
+#include "ground/jot.h"
+#include "ground/mix.h"
+#include "proof/common/books.h"
+#include "proof/common/shapes.h"
+
+namespace pipit {
+namespace {
+
+namespace options = boost::program_options;
+
+Micros now() { return g_get_monotonic_time(); }
+
+struct Plan {
+  std::string shape = "coop";
+  std::string entries;
+  std::string books;
+  std::string out;
+  double rate = 90;
+  double seconds = 20;
+  double hot = 0;
+  std::uint64_t seed = 1;
+  double patience = 15;
+};
+
+struct Attempt {
+  std::string tag;
+  bool safe = false;
+  std::string told;  // "no", "unknown", "yes" or "done"
+  std::string run;
+  std::int64_t pieces = 0;
+};
+
+struct Quantiles {
+  std::vector<Micros> all;
+  void add(Micros t) { all.push_back(t); }
+  Micros at(double q) {
+    if (all.empty()) return 0;
+    std::sort(all.begin(), all.end());
+    return all[std::min(all.size() - 1, static_cast<std::size_t>(q * static_cast<double>(all.size())))];
+  }
+};
+
+class Chorus {
+ public:
+  explicit Chorus(Plan plan_) : plan(std::move(plan_)), shape(*shape_of(plan.shape)), dice(plan.seed) {
+    loop = g_main_loop_new(nullptr, FALSE);
+    session = soup_session_new_with_options("max-conns", 8192, "max-conns-per-host", 4096, "timeout", 0, "proxy-resolver", nullptr, nullptr);
+    for (Kin const& kin : shape.kinds)
+      for (int i = 0; i < kin.weight; ++i) wheel.push_back(&kin);
+  }
+
+  int run() {
+    begin = now();
+    read_entries();
+    next_at = begin;
+    g_timeout_add(4, on_tick, this);
+    g_timeout_add(500, on_entries, this);
+    g_main_loop_run(loop);
+    return judge();
+  }
+
+ private:
+  struct Call {  // one caller's wish; it may take several attempts
+    Chorus* host = nullptr;
+    std::uint64_t number = 0;
+    Kin const* kin = nullptr;
+    std::string prompt;
+    Micros came = 0;
+    int attempts = 0;
+  };
+  struct Try {
+    Chorus* host = nullptr;
+    std::unique_ptr<Call> call;
+    std::size_t attempt = 0;
+    SoupMessage* message = nullptr;
+    GInputStream* body = nullptr;
+    GCancellable* stop = nullptr;
+    Micros sent = 0;
+    Pieces pieces;
+    std::int64_t seen = 0;
+    bool done = false;
+    bool error = false;
+    std::string whole;
+    char room[16384];
+  };
+
+  void read_entries() {
+    std::ifstream file(plan.entries);
+    std::string line;
+    std::vector<std::string> fresh;
+    while (std::getline(file, line))
+      if (!line.empty()) fresh.push_back(line);
+    if (!fresh.empty()) doors = fresh;
+  }
+
+  static gboolean on_entries(gpointer self) {
+    static_cast<Chorus*>(self)->read_entries();
+    return G_SOURCE_CONTINUE;
+  }
+
+  static gboolean on_tick(gpointer self) {
+    Chorus& host = *static_cast<Chorus*>(self);
+    Micros const t = now();
+    Micros const end = host.begin + static_cast<Micros>(host.plan.seconds * 1e6);
+    while (host.next_at <= t && host.next_at < end) {
+      host.fresh();
+      host.next_at += static_cast<Micros>(1e6 / host.plan.rate * (0.5 + static_cast<double>(host.dice.below(1000)) / 1000.0));
+    }
+    if (t < end) return G_SOURCE_CONTINUE;
+    if (host.open == 0 || t > end + seconds(40)) {
+      g_main_loop_quit(host.loop);
+      return G_SOURCE_REMOVE;
+    }
+    return G_SOURCE_CONTINUE;
+  }
+
+  void fresh() {
+    std::unique_ptr<Call> call = std::make_unique<Call>();
+    call->host = this;
+    call->number = ++calls;
+    call->kin = wheel[dice.below(wheel.size())];
+    bool const hot = dice.chance(plan.hot);
+    // A few openings are asked for much more often than others.
+    std::uint64_t const a = dice.below(static_cast<std::uint64_t>(call->kin->openings));
+    std::uint64_t const b = dice.below(static_cast<std::uint64_t>(call->kin->openings));
+    std::uint64_t const pick = hot ? 0 : std::min(a, b);
+    call->prompt = filler(mix(call->kin->lane) + pick, call->kin->opening) + " #" + std::to_string(call->number) + " " + filler(plan.seed * 1000003 + call->number, call->kin->tail);
+    call->came = now();
+    ++open;
+    send(std::move(call));
+  }
+
+  void send(std::unique_ptr<Call> call) {
+    Try* const item = new Try;
+    item->host = this;
+    item->attempt = attempts.size();
+    Attempt note;
+    note.tag = call->kin->lane + "-" + std::to_string(plan.seed) + "-" + std::to_string(call->number) + "." + std::to_string(call->attempts++);
+    note.safe = call->kin->safe;
+    attempts.push_back(note);
+    Jot jot;
+    jot.open().key("model").text("tribute").key("user").text(note.tag).key("max_tokens").number(call->kin->pieces).key("stream").truth(call->kin->stream);
+    jot.key("messages").list().open().key("role").text("user").key("content").text(call->prompt).shut().unlist().shut();
+    std::string const body = jot.take();
+    std::string const door = doors[dice.below(doors.size())];
+    item->message = soup_message_new("POST", ("http://" + door + "/v1/chat/completions").c_str());
+    soup_message_set_flags(item->message, static_cast<SoupMessageFlags>(SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_NEW_CONNECTION));
+    GBytes* const bytes = g_bytes_new(body.data(), body.size());
+    soup_message_set_request_body_from_bytes(item->message, "application/json", bytes);
+    g_bytes_unref(bytes);
+    item->stop = g_cancellable_new();
+    item->sent = now();
+    item->call = std::move(call);
+    g_signal_connect(item->message, "starting", G_CALLBACK(+[](SoupMessage*, gpointer data) { g_object_set_data(G_OBJECT(data), "left", data); }), item->message);
+    soup_session_send_async(session, item->message, G_PRIORITY_DEFAULT, item->stop, on_head, item);
+  }
+
+  void fault(char const* point, std::string const& what) {
+    ++faults[point];
+    if (faults[point] <= 5) std::fprintf(stderr, "FAULT %s %s\n", point, what.c_str());
+  }
+
+  static void on_head(GObject*, GAsyncResult* result, gpointer data) {
+    Try& item = *static_cast<Try*>(data);
+    Chorus& host = *item.host;
+    item.body = soup_session_send_finish(host.session, result, nullptr);
+    if (item.body == nullptr) {
+      bool const left = g_object_get_data(G_OBJECT(item.message), "left") != nullptr;
+      return host.lost(&item, left);
+    }
+    host.more(item);
+  }
+
+  void more(Try& item) { g_input_stream_read_async(item.body, item.room, sizeof item.room, G_PRIORITY_DEFAULT, item.stop, on_body, &item); }
+
+  static void on_body(GObject*, GAsyncResult* result, gpointer data) {
+    Try& item = *static_cast<Try*>(data);
+    Chorus& host = *item.host;
+    gssize const size = g_input_stream_read_finish(item.body, result, nullptr);
+    bool const good = soup_message_get_status(item.message) == 200;
+    if (size > 0) {
+      if (good && item.call->kin->stream) {
+        item.pieces.feed(std::string_view(item.room, static_cast<std::size_t>(size)));
+        host.stream(item);
+      } else {
+        item.whole.append(item.room, static_cast<std::size_t>(size));
+      }
+      return host.more(item);
+    }
+    host.over(item, size == 0, good);
+  }
+
+  // Each piece says whose it is, of which run, and which one of how many.
+  void stream(Try& item) {
+    Attempt& note = attempts[item.attempt];
+    std::string event;
+    while (item.pieces.next(event)) {
+      if (event.rfind("event: error", 0) == 0) {
+        item.error = true;
+        item.whole = event_data(event);
+        continue;
+      }
+      std::string const text = event_data(event);
+      if (item.error || item.done) fault("N3", note.tag + ": something after the end");
+      if (text == "[DONE]") {
+        item.done = true;
+        continue;
+      }
+      if (item.seen == 0) first_token.add(now() - item.sent);
+      simdjson::dom::parser parser;
+      simdjson::dom::element root;
+      std::string_view content;
+      if (parser.parse(simdjson::padded_string(text)).get(root) || root["choices"].at(0)["delta"]["content"].get_string().get(content)) {
+        fault("N4", note.tag + ": a piece that is none");
+        continue;
+      }
+      piece(item, note, std::string(content));
+    }
+  }
+
+  void piece(Try& item, Attempt& note, std::string const& content) {
+    std::size_t const a = content.find('|');
+    std::size_t const b = content.find('|', a + 1);
+    std::size_t const c = content.find('|', b + 1);
+    std::string const tag = content.substr(0, a);
+    std::string const run = content.substr(a + 1, b - a - 1);
+    std::int64_t const at = std::atoll(content.substr(b + 1, c - b - 1).c_str());
+    if (tag != note.tag) fault("N4", note.tag + " got a piece of " + tag);
+    if (note.run.empty()) note.run = run;
+    if (note.run != run) fault("N3", note.tag + " joins " + note.run + " and " + run);
+    if (at != item.seen) fault("N3", note.tag + " got piece " + std::to_string(at) + " for " + std::to_string(item.seen));
+    ++item.seen;
+  }
+
+  void over(Try& item, bool whole, bool good) {
+    Attempt& note = attempts[item.attempt];
+    note.pieces = item.seen;
+    Micros const took = now() - item.sent;
+    if (good && !item.call->kin->stream && whole) {
+      simdjson::dom::parser parser;
+      simdjson::dom::element root;
+      std::string_view content;
+      std::string const want = std::to_string(item.call->kin->pieces);
+      if (parser.parse(simdjson::padded_string(item.whole)).get(root) || root["choices"].at(0)["message"]["content"].get_string().get(content)) {
+        fault("N4", note.tag + ": an answer that is none");
+      } else {
+        std::string const text(content);
+        if (text.rfind(note.tag + "|", 0) != 0 || text.substr(text.rfind('|') + 1) != want) fault("N4", note.tag + " got " + text);
+        note.run = text.substr(note.tag.size() + 1, text.rfind('|') - note.tag.size() - 1);
+      }
+      note.told = "done";
+      ++done;
+      whole_time.add(took);
+      return finish(&item);
+    }
+    if (good && item.call->kin->stream && whole && item.done && !item.error) {
+      if (item.seen != item.call->kin->pieces) fault("N3", note.tag + " looks finished after " + std::to_string(item.seen));
+      note.told = "done";
+      ++done;
+      return finish(&item);
+    }
+    if (good && whole && !item.error) {
+      fault("N3", note.tag + ": a body that ends well, without its end");
+      return finish(&item);
+    }
+    if (good && whole && item.error) fault("N3", note.tag + ": a broken stream whose body ends well");
+    simdjson::dom::parser parser;
+    simdjson::dom::element root;
+    std::string_view ran;
+    std::string_view kind;
+    if (item.whole.empty() || parser.parse(simdjson::padded_string(item.whole)).get(root) || root["error"]["ran"].get_string().get(ran) || root["error"]["kind"].get_string().get(kind))
+      return lost(&item, true);
+    note.told = ran;
+    ++answers[std::string(kind)];
+    if (ran == "no") {
+      refusal.add(took);
+      char const* const after = soup_message_headers_get_one(soup_message_get_response_headers(item.message), "Retry-After");
+      if (after == nullptr) fault("contract", note.tag + ": refused without a time to come back");
+      Micros const wait = seconds(after == nullptr ? 1 : std::max(1, std::atoi(after)));
+      if (now() + wait - item.call->came < static_cast<Micros>(plan.patience * 1e6)) return again(&item, wait);
+      ++refused;
+    } else {
+      ++failed;
+    }
+    finish(&item);
+  }
+
+  // No answer: the caller knows nothing, unless the wire could not even be opened.
+  void lost(Try* item, bool left) {
+    Attempt& note = attempts[item->attempt];
+    note.told = left ? "lost" : "no";
+    bool const patient = now() + seconds(1) - item->call->came < static_cast<Micros>(plan.patience * 1e6);
+    if (patient && (!left || note.safe)) {
+      ++retried;
+      return again(item, millis(200));
+    }
+    ++lost_calls;
+    finish(item);
+  }
+
+  void clear(Try* item) {
+    g_clear_object(&item->body);
+    g_clear_object(&item->message);
+    g_clear_object(&item->stop);
+    delete item;
+  }
+
+  void again(Try* item, Micros wait) {
+    Call* const call = item->call.release();
+    clear(item);
+    g_timeout_add(
+        static_cast<guint>(wait / 1000),
+        [](gpointer data) -> gboolean {
+          std::unique_ptr<Call> call(static_cast<Call*>(data));
+          Chorus& host = *call->host;
+          host.send(std::move(call));
+          return G_SOURCE_REMOVE;
+        },
+        call);
+  }
+
+  void finish(Try* item) {
+    --open;
+    clear(item);
+  }
+
+  int judge() {
+    std::map<std::string, std::vector<BookLine>> books;
+    std::size_t runs = 0;
+    for (BookLine& line : read_books(plan.books)) {
+      if (line.what == 'S') ++runs;
+      books[line.tag].push_back(line);
+    }
+    std::map<std::string, int> whole_calls;
+    for (Attempt const& note : attempts) {
+      int begun = 0;
+      int ended = 0;
+      for (BookLine const& line : books[note.tag]) {
+        if (line.what == 'S') ++begun;
+        if (line.what == 'E') ++ended;
+      }
+      if (!note.safe) {
+        int& sum = whole_calls[note.tag.substr(0, note.tag.rfind('.'))];
+        sum += begun;
+        if (sum > 1) fault("N1", note.tag + " ran " + std::to_string(sum) + " times");
+      }
+      if (note.told == "no" && begun > 0) fault("N2", note.tag + " was told no, and ran");
+      if (note.told == "done" && ended == 0) fault("N4", note.tag + " was told done, and no worker ended it");
+      if (note.told == "yes" && begun == 0) fault("N4", note.tag + " was told that it ran, and no worker began it");
+    }
+    Jot jot;
+    jot.open().key("calls").number(static_cast<std::int64_t>(calls)).key("attempts").number(static_cast<std::int64_t>(attempts.size()));
+    jot.key("done").number(done).key("refused").number(refused).key("failed").number(failed).key("lost").number(lost_calls).key("unanswered").number(open);
+    jot.key("retried").number(retried).key("runs").number(static_cast<std::int64_t>(runs));
+    jot.key("first_token_us").open().key("p50").number(first_token.at(0.5)).key("p99").number(first_token.at(0.99)).key("max").number(first_token.at(1)).shut();
+    jot.key("whole_us").open().key("p50").number(whole_time.at(0.5)).key("p99").number(whole_time.at(0.99)).shut();
+    jot.key("refusals").number(static_cast<std::int64_t>(refusal.all.size()));
+    jot.key("refusal_us").open().key("p50").number(refusal.at(0.5)).key("p99").number(refusal.at(0.99)).key("max").number(refusal.at(1)).shut();
+    jot.key("answers").open();
+    for (std::pair<std::string const, int> const& item : answers) jot.key(item.first).number(item.second);
+    jot.shut().key("faults").open();
+    int sum = 0;
+    for (std::pair<std::string const, int> const& item : faults) {
+      jot.key(item.first).number(item.second);
+      sum += item.second;
+    }
+    jot.shut().shut();
+    std::string const text = jot.take();
+    std::printf("%s\n", text.c_str());
+    if (!plan.out.empty()) std::ofstream(plan.out) << text << "\n";
+    // A run that saw no traffic has shown nothing.
+    if (done == 0) std::fprintf(stderr, "FAULT no answer was seen\n");
+    if (open > 0) std::fprintf(stderr, "FAULT %lld calls were never answered\n", static_cast<long long>(open));
+    return sum == 0 && done > 0 && open == 0 ? 0 : 1;
+  }
+
+  Plan const plan;
+  Shape const& shape;
+  Dice dice;
+  GMainLoop* loop;
+  SoupSession* session;
+  std::vector<Kin const*> wheel;
+  std::vector<std::string> doors;
+  std::vector<Attempt> attempts;
+  Micros begin = 0;
+  Micros next_at = 0;
+  std::uint64_t calls = 0;
+  std::int64_t open = 0, done = 0, refused = 0, failed = 0, lost_calls = 0, retried = 0;
+  Quantiles first_token;
+  Quantiles whole_time;
+  Quantiles refusal;
+  std::map<std::string, int> faults;
+  std::map<std::string, int> answers;
+};
+
+int run(int argc, char** argv) {
+  Plan plan;
+  options::options_description flags("chorus: callers who judge every answer");
+  flags.add_options()("shape", options::value(&plan.shape), "coop or utility")("entries", options::value(&plan.entries), "a file of IP:port lines, read again as it changes")(
+      "books", options::value(&plan.books), "the folder of the workers' books")("out", options::value(&plan.out), "a file for the report")("rate", options::value(&plan.rate), "requests a second")(
+      "seconds", options::value(&plan.seconds))("hot", options::value(&plan.hot), "the share of one hot opening")("seed", options::value(&plan.seed))("help", "");
+  try {
+    options::variables_map map;
+    options::store(options::parse_command_line(argc, argv, flags), map);
+    options::notify(map);
+    if (map.count("help")) {
+      std::cout << flags;
+      return 0;
+    }
+  } catch (options::error const& bad) {
+    std::fprintf(stderr, "chorus: %s\n", bad.what());
+    return 2;
+  }
+  if (shape_of(plan.shape) == nullptr || plan.entries.empty() || plan.books.empty() || plan.rate <= 0 || plan.rate > 2000 || plan.seconds <= 0 || plan.seconds > 900) {
+    std::fprintf(stderr, "chorus: shape, entries and books are needed; rate up to 2000; seconds up to 900\n");
+    return 2;
+  }
+  return Chorus(plan).run();
+}
+
+}  // namespace
+}  // namespace pipit
+
+int main(int argc, char** argv) { return pipit::run(argc, argv); }
