Nodes tell each other their legs; cold is judged by the pool in force

Cause of slow first tokens in a crowd: every node placed by load reports up to 1.7 s old, so nine nodes filled the same workers and requests waited in the workers' own queues. Ruled out: processor time (the same rate with 60 slots was fast).

Cause of late refusals in a calm fleet: a worker whose vitals came before the description was held cold by a default span. Cold is now reckoned when it is asked.

--- a/proof/scene/main.cc
+++ b/proof/scene/main.cc
@@ -40,6 +40,7 @@
   double seconds = 0;
   double rate = 90;
   double hot = 0;
+  int slots = 60;
   std::uint64_t seed = 1;
 };
 
@@ -68,6 +69,7 @@
     std::filesystem::create_directories(plan.folder + "/books");
     std::filesystem::create_directories(plan.folder + "/logs");
     for (std::filesystem::directory_entry const& item : std::filesystem::directory_iterator(plan.folder + "/books")) std::filesystem::remove(item.path());
+    for (std::filesystem::directory_entry const& item : std::filesystem::directory_iterator(plan.folder + "/logs")) std::filesystem::remove(item.path());
     for (std::string const& name : cast.keepers) std::filesystem::remove_all(plan.folder + "/" + name);
     build();
     for (std::pair<std::string const, Actor>& item : actors) start(item.second);
@@ -76,6 +78,10 @@
     std::printf("ready after %lld ms\n", static_cast<long long>((now() - launched) / 1000));
     if (!apply("p1", 1)) return fail_now("the first description was not taken");
     if (!until(seconds(5), [this] { return all_at(serial_yes); })) return fail_now("the first description was not brought to all");
+    slowest_force = now() - accepted.begin()->second;
+    settled.insert(accepted.begin()->first);
+    // Workers that have just woken are cold; what is measured begins when they are warm.
+    until(seconds(8), [this] { return now() - launched > seconds(6); });
     perform();
     return finish();
   }
@@ -144,7 +150,7 @@
 
   void worker_args(Actor& actor) {
     Row const& row = rows[actor.name];
-    actor.args = {"mimic", "worker", "--http", row.address, "--id", actor.name, "--incarnation", std::to_string(row.incarnation), "--ledger", plan.folder + "/books/" + actor.name + ".book", "--blocks", "2000"};
+    actor.args = {"mimic", "worker", "--http", row.address, "--id", actor.name, "--incarnation", std::to_string(row.incarnation), "--ledger", plan.folder + "/books/" + actor.name + ".book", "--blocks", "2000", "--slots", std::to_string(plan.slots)};
   }
 
   void start(Actor& actor) {
@@ -187,7 +193,7 @@
     for (std::pair<std::string const, Row> const& item : rows) {
       if (item.second.state == "gone") continue;
       jot.open().key("id").text(item.first).key("address").text(item.second.address).key("zone").text(item.second.zone).key("pool").text(item.second.pool);
-      jot.key("incarnation").number(item.second.incarnation).key("state").text(item.second.state).key("slots").number(60).shut();
+      jot.key("incarnation").number(item.second.incarnation).key("state").text(item.second.state).key("slots").number(plan.slots).shut();
     }
     jot.unlist().shut();
     list_text = jot.take();
@@ -793,7 +799,7 @@
   options::options_description flags("scene: runs a whole fleet on this machine, breaks it, and judges it");
   flags.add_options()("shape", options::value(&plan.shape), "coop or utility")("schedule", options::value(&plan.schedule), "a schedule's name")(
       "steps", options::value(&plan.steps), "steps of your own instead, such as \"2 kill p1; 5 start p1\"")("seconds", options::value(&plan.seconds), "for how long callers ask")(
-      "rate", options::value(&plan.rate), "requests a second")("hot", options::value(&plan.hot), "the share of one hot opening")("seed", options::value(&plan.seed))(
+      "rate", options::value(&plan.rate), "requests a second")("hot", options::value(&plan.hot), "the share of one hot opening")("slots", options::value(&plan.slots), "requests that a worker runs at once")("seed", options::value(&plan.seed))(
       "folder", options::value(&plan.folder), "where data, logs and books go")("net", options::value(&plan.net), "the second number of the loopback addresses, 2 to 250")("help", "");
   try {
     options::variables_map map;
--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -10,9 +10,11 @@
 constexpr Micros poll_gap = millis(500);
 constexpr Micros list_gap = millis(300);
 constexpr Micros check_gap = millis(500);
+constexpr Micros load_gap = millis(200);
 constexpr Micros jump = seconds(1);
 constexpr Micros fresh_bound = seconds(3);
 constexpr Micros confirm_bound = millis(2000);
+constexpr Micros mend_gap = seconds(3);
 constexpr Micros keeper_lost = seconds(3);
 
 wire::MemberT self_of(NodePlan const& plan) {
@@ -170,6 +172,9 @@
       }
       break;
     case wire::Body::GrantAns: mend.take(from, *body.AsGrantAns(), now, learner.ring()); break;
+    case wire::Body::Loads:
+      fleet.peer_legs(from, *body.AsLoads(), now);
+      break;
     case wire::Body::Doubt:
       // Asked at once; a worker that is well is back in a moment.
       if (fleet.doubt(body.AsDoubt()->worker, body.AsDoubt()->incarnation, now)) check_now(body.AsDoubt()->worker, now, out);
@@ -294,7 +299,7 @@
 void Node::vitals(Check const& check, std::optional<Vitals> const& report, bool refused, Micros now, NodeOut& out) {
   watch_clock(now);
   checking.erase(check.worker);
-  fleet.vitals(check.worker, check.life, check.asked, report, refused, *desk.creed(), now);
+  fleet.vitals(check.worker, check.life, check.asked, report, refused, now);
   take_fresh(now);
   desk.work(now, out.desk);
 }
@@ -501,7 +506,9 @@
   } else if (!spare.name.empty() && !lost.name.empty()) {
     change.sort = Change::Sort::dismiss;
     change.keeper = lost;
-  } else if (learner.split) {
+  } else if (learner.split && now - mended_at > mend_gap) {
+    // Not oftener: each round outbids what others have under way, and a slow disk never catches up with a storm.
+    mended_at = now;
     change.sort = Change::Sort::read;
   } else {
     return;
@@ -551,6 +558,10 @@
     }
     // §6.6: the share of a cold worker's bound counts every node that is known, DOWN ones too, so that a cut never raises the sum.
     desk.nodes(passages(true));
+    tell_loads(now, letters);
+    std::set<std::string> senders = passages(false);
+    senders.erase(plan.name);
+    fleet.sum_others(senders, now);
     look_ready(now, out);
     desk.work(now, out.desk);
   } else {
@@ -567,6 +578,19 @@
   desk.fresh(id, std::move(ask), now, out.desk);
 }
 
+// Peers hear how many legs this node has at each worker, soon when that changed, and now and then when not.
+void Node::tell_loads(Micros now, std::vector<Letter>& letters) {
+  if (now < next_loads) return;
+  next_loads = now + load_gap;
+  wire::LoadsT const loads = fleet.own_legs();
+  std::string print;
+  for (std::unique_ptr<wire::LoadT> const& item : loads.list) print += item->worker + " " + std::to_string(item->legs) + " ";
+  if (print == loads_last && now - loads_told < seconds(1)) return;
+  loads_last = print;
+  loads_told = now;
+  for (std::string const& name : tide_peers()) letters.push_back(letter(name, wire::LoadsT(loads)));
+}
+
 void Node::check_now(std::string const& id, Micros now, NodeOut& out) {
   Worker const* const worker = fleet.find(id);
   if (worker == nullptr) return;
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -116,6 +116,7 @@
   void duties(Micros now, NodeOut& out);
   void found(Micros now, std::vector<Letter>& letters);
   void take_fresh(Micros now);
+  void tell_loads(Micros now, std::vector<Letter>& letters);
   void check_now(std::string const& id, Micros now, NodeOut& out);
   std::vector<std::string> keepers() const;
   std::vector<std::string> tide_peers() const;
@@ -130,6 +131,9 @@
   Micros next_list = 0;
   Micros next_round = 0;
   Micros next_reconcile = 0;
+  Micros next_loads = 0;
+  Micros loads_told = 0;
+  std::string loads_last;
   bool list_flying = false;
   Micros list_flew = 0;
   Micros listed_at = -1;
@@ -144,6 +148,7 @@
   std::map<std::uint64_t, Waiting> waiting;
   bool duty_busy = false;
   bool had_duty = false;
+  Micros mended_at = -seconds(60);
   struct Ended {
     std::uint64_t id;
     Change change;
--- a/src/flow/errand/desk.cc
+++ b/src/flow/errand/desk.cc
@@ -29,6 +29,7 @@
   Ran const ran = errand.legs == 0 ? row.ran : errand.ran;
   if (wait == 0) wait = row.wait;
   if (ran == Ran::no && wait == 0 && row.status >= 429) wait = millis(1000);
+  tell(Event::errand_refused, std::string(row.name) + " lane " + (errand.lane == nullptr ? "-" : errand.lane->name) + " ran " + ran_word(ran) + " back in " + std::to_string(wait / 1000) + " ms");
   out.ends.push_back(Verdict{errand.id, std::move(fault), ran, wait});
   erase(errand);
 }
@@ -93,7 +94,8 @@
   Choice best;
   Micros least = 0;
   Micros soonest = -1;
-  bool cold_only = false;
+  std::int64_t cold_shares = 0;  // of workers that are free but cold
+  Micros cold_ends = -1;
   std::map<std::string, std::size_t> const hits = tide.index(errand.model).match(errand.ask.path);
   for (Binding::Choice const& way : errand.lane->binding.pools) {
     Pool const* const pool = errand.rules->pool(way.pool);
@@ -119,8 +121,10 @@
         if (soonest < 0 || wait < soonest) soonest = wait;
         continue;
       }
-      if (fleet.cold(*worker, now) && !fleet.cold_room(*worker, pool->cold, self, names, now)) {
-        cold_only = true;
+      Micros const cold = fleet.cold_for(*worker, pool->cold_span, now);
+      if (cold > 0 && !fleet.cold_room(*worker, pool->cold, self, names, now)) {
+        cold_shares += fleet.cold_share(*worker, pool->cold, self, names);
+        if (cold_ends < 0 || cold < cold_ends) cold_ends = cold;
         continue;
       }
       std::map<std::string, std::size_t>::const_iterator const hit = hits.find(worker->row.id);
@@ -141,9 +145,15 @@
       return best;
     }
   }
-  if (soonest >= 0 || cold_only) {
+  if (cold_ends >= 0) {
+    // The share of this node comes free window by window, until the first of them is warm.
+    Micros wait = cold_ends;
+    if (cold_shares > 0) wait = std::min(wait, Fleet::cold_window * static_cast<Micros>(ahead + 1) / cold_shares);
+    if (soonest < 0 || wait < soonest) soonest = wait;
+  }
+  if (soonest >= 0) {
     best.say = Say::wait;
-    best.wait = soonest >= 0 ? soonest : millis(200);
+    best.wait = soonest;
     return best;
   }
   best.kind = errand.tried.empty() ? Kind::no_worker : Kind::worker_unreached;
@@ -177,7 +187,7 @@
   }
   if (worker.row.zone != zone) ++tally.far_sends;
   worker.legs.insert(now);
-  if (fleet.cold(worker, now)) worker.sends.push_back(now);
+  if (fleet.cold_for(worker, pool.cold_span, now) > 0) worker.sends.push_back(now);
   Index::Bounds const bounds{static_cast<std::size_t>(pool.cache_blocks), pool.cache_age};
   tide.queue(errand.model, tide.index(errand.model).touch(errand.ask.path, worker.row.id, worker.row.incarnation, bounds, now));
   out.starts.push_back(Start{errand.id, errand.legs, worker.row.id, worker.row.address, errand.lane->policy.answer, errand.lane->policy.stall});
--- a/src/flow/fleet/fleet.cc
+++ b/src/flow/fleet/fleet.cc
@@ -9,8 +9,6 @@
 namespace pipit {
 
 namespace {
-// A cold send counts against a little more than its second, for what the way to the worker adds or takes.
-constexpr Micros cold_window = millis(1250);
 constexpr int revive_after = 4;
 
 bool text_of(simdjson::dom::element const& row, char const* key, std::string& out) {
@@ -73,7 +71,7 @@
   worker.standing = Standing::serving;
   worker.absent = false;
   worker.seen_again = 0;
-  worker.cold_until = -1;
+  worker.woke = -1;
   worker.dark = true;
   worker.ever = false;
   worker.doubted = false;
@@ -173,8 +171,7 @@
   }
 }
 
-void Fleet::vitals(std::string const& id, std::uint64_t life, Micros asked, std::optional<Vitals> const& report, bool refused,
-                   Creed const& creed, Micros now) {
+void Fleet::vitals(std::string const& id, std::uint64_t life, Micros asked, std::optional<Vitals> const& report, bool refused, Micros now) {
   Worker* const worker = find(id);
   if (worker == nullptr || life != worker->row.incarnation) return;
   if (!report) {
@@ -200,25 +197,66 @@
   }
   worker->awake = report->awake;
   if (worker->dark) {
-    Pool const* const pool = creed.pool(worker->row.pool);
-    Micros const span = pool == nullptr ? Pool().cold_span : pool->cold_span;
     // §6.6: cold is what woke a short while ago, and what comes back from the dark.
-    Micros const awake = worker->ever ? 0 : report->awake;
-    worker->cold_from = now;
-    worker->cold_until = now + std::max<Micros>(0, span - awake);
+    worker->woke = worker->ever ? now : now - report->awake;
     worker->dark = false;
     if (worker->ever) tell(Event::worker_back, id);
     worker->ever = true;
   }
 }
 
+std::int64_t Fleet::cold_share(Worker const& worker, std::int64_t bound, std::string const& self, std::set<std::string> const& names) const {
+  std::int64_t const share = bound / static_cast<std::int64_t>(std::max<std::size_t>(1, names.size()));
+  if (share > 0) return share;
+  return static_cast<std::int64_t>(rendezvous_rank(worker.row.id, self, names)) < bound ? 1 : 0;
+}
+
 bool Fleet::cold_room(Worker& worker, std::int64_t bound, std::string const& self, std::set<std::string> const& names,
                       Micros now) const {
   while (!worker.sends.empty() && now - worker.sends.front() >= cold_window) worker.sends.pop_front();
-  std::int64_t const nodes = static_cast<std::int64_t>(std::max<std::size_t>(1, names.size()));
-  std::int64_t share = bound / nodes;
-  if (share == 0) share = static_cast<std::int64_t>(rendezvous_rank(worker.row.id, self, names)) < bound ? 1 : 0;
-  return static_cast<std::int64_t>(worker.sends.size()) < share;
+  return static_cast<std::int64_t>(worker.sends.size()) < cold_share(worker, bound, self, names);
+}
+
+void Fleet::peer_legs(std::string const& peer, wire::LoadsT const& loads, Micros now) {
+  Told& item = told[peer];
+  item.at = now;
+  item.legs.clear();
+  for (std::unique_ptr<wire::LoadT> const& load : loads.list) item.legs[load->worker] = load->legs;
+}
+
+void Fleet::sum_others(std::set<std::string> const& senders, Micros now) {
+  constexpr Micros lately = millis(1500);
+  bool exact = true;
+  std::map<std::string, std::int64_t> sums;
+  for (std::map<std::string, Told>::iterator it = told.begin(); it != told.end();) {
+    if (now - it->second.at > seconds(10)) {
+      it = told.erase(it);
+      continue;
+    }
+    for (std::pair<std::string const, std::int64_t> const& item : it->second.legs) sums[item.first] += item.second;
+    ++it;
+  }
+  for (std::string const& name : senders) {
+    std::map<std::string, Told>::const_iterator const spot = told.find(name);
+    exact = exact && spot != told.end() && now - spot->second.at <= lately;
+  }
+  for (std::pair<std::string const, Worker>& item : workers) {
+    std::map<std::string, std::int64_t>::const_iterator const sum = sums.find(item.first);
+    item.second.others = sum == sums.end() ? 0 : sum->second;
+    item.second.exact = exact;
+  }
+}
+
+wire::LoadsT Fleet::own_legs() const {
+  wire::LoadsT out;
+  for (std::pair<std::string const, Worker> const& item : workers) {
+    if (item.second.legs.empty()) continue;
+    std::unique_ptr<wire::LoadT> load = std::make_unique<wire::LoadT>();
+    load->worker = item.first;
+    load->legs = static_cast<std::uint32_t>(item.second.legs.size());
+    out.list.push_back(std::move(load));
+  }
+  return out;
 }
 
 std::vector<wire::EntryT> Fleet::entries_for(std::set<std::string> const& owned) const {
--- a/src/flow/fleet/fleet.h
+++ b/src/flow/fleet/fleet.h
@@ -44,12 +44,17 @@
   int misses = 0;
   std::int64_t demand = 0;    // as last reported
   Micros reported = 0;
-  Micros cold_until = -1;     // -1: not known, so cold
-  Micros cold_from = 0;
+  Micros woke = -1;           // when it woke or came back from the dark; -1: not known, so cold
   std::multiset<Micros> legs; // this node's running legs, by their start
   std::deque<Micros> sends;   // this node's sends while it was cold
   std::int64_t own_since() const { return static_cast<std::int64_t>(std::distance(legs.lower_bound(reported), legs.end())); }
-  std::int64_t guess() const { return std::max<std::int64_t>(demand + own_since(), static_cast<std::int64_t>(legs.size())); }
+  std::int64_t others = 0;    // legs of peers, as they told last
+  bool exact = false;         // every peer that may send has told lately
+  // §6.4: what all nodes told counts, when all told; else the late report counts too.
+  std::int64_t guess() const {
+    std::int64_t const told = others + static_cast<std::int64_t>(legs.size());
+    return exact ? told : std::max<std::int64_t>(demand + own_since(), told);
+  }
   bool takes() const { return standing == Standing::serving && !dark && !doubted; }
 };
 
@@ -65,23 +70,37 @@
   void take_list(std::vector<ListRow> const& rows, Micros now);
   void take_entry(wire::EntryT const& entry, Micros now);
   // True when a dark worker came back or a life began.
-  void vitals(std::string const& id, std::uint64_t life, Micros asked, std::optional<Vitals> const& report, bool refused, Creed const& creed, Micros now);
+  void vitals(std::string const& id, std::uint64_t life, Micros asked, std::optional<Vitals> const& report, bool refused, Micros now);
   // A wire to the worker broke, here or at a peer. True when that is news.
   bool doubt(std::string const& id, std::uint64_t life, Micros now);
   // Restores what entries hold as serving and this table lost (§4.4).
   void reconcile(std::map<std::string, wire::EntryT> const& entries, Micros now);
 
+  // A peer tells how many legs it has at each worker; 'senders' are the peers that may have any.
+  void peer_legs(std::string const& peer, wire::LoadsT const& loads, Micros now);
+  void sum_others(std::set<std::string> const& senders, Micros now);
+  wire::LoadsT own_legs() const;
+
   // What this node writes of the workers whose entries it owns.
   std::vector<wire::EntryT> entries_for(std::set<std::string> const& owned) const;
 
-  bool cold(Worker const& worker, Micros now) const { return worker.cold_until < 0 || now < worker.cold_until; }
+  // For how long it is still cold, by what its pool says now; 0 when it is warm.
+  Micros cold_for(Worker const& worker, Micros span, Micros now) const { return worker.woke < 0 ? span : std::max<Micros>(0, worker.woke + span - now); }
   // Whether this node may send to a cold worker now; 'names' are all nodes known that may send.
   bool cold_room(Worker& worker, std::int64_t bound, std::string const& self, std::set<std::string> const& names, Micros now) const;
+  // How many sends this node has to a cold worker in one window.
+  std::int64_t cold_share(Worker const& worker, std::int64_t bound, std::string const& self, std::set<std::string> const& names) const;
+  static constexpr Micros cold_window = millis(1250);  // a second, and a little for what the way adds or takes
 
   Worker* find(std::string const& id);
   std::map<std::string, Worker> workers;
 
  private:
+  struct Told {
+    Micros at = 0;
+    std::map<std::string, std::int64_t> legs;
+  };
+  std::map<std::string, Told> told;
   void begin_life(Worker& worker, std::uint64_t incarnation);
   void bury(Worker& worker, Standing standing);
 };
--- a/src/hull/http/front.cc
+++ b/src/hull/http/front.cc
@@ -27,12 +27,15 @@
   std::size_t taken = 0;
   std::size_t chunks_put = 0;
   std::size_t chunks_gone = 0;
+  void unwatch() {
+    if (watch == nullptr) return;
+    g_source_destroy(watch);
+    g_source_unref(watch);
+    watch = nullptr;
+  }
   ~Held() {
     if (timer != 0) g_source_remove(timer);
-    if (watch != nullptr) {
-      g_source_destroy(watch);
-      g_source_unref(watch);
-    }
+    unwatch();
     if (message != nullptr) {
       g_signal_handlers_disconnect_by_data(message, this);
       g_object_unref(message);
@@ -82,6 +85,7 @@
   held->id = ++host.next;
   held->message = SOUP_SERVER_MESSAGE(g_object_ref(message));
   g_object_set_data(G_OBJECT(message), "pipit", held.get());
+  soup_server_message_get_remote_address(message);  // kept by libsoup, which else asks a socket that may be shut by then
   g_signal_connect(message, "finished", G_CALLBACK(on_finished), held.get());
   host.calls.emplace(held->id, std::move(held));
 }
@@ -216,11 +220,7 @@
   if (spot == calls.end()) return;
   Held& held = *spot->second;
   held.answered = true;
-  if (held.watch != nullptr) {
-    g_source_destroy(held.watch);
-    g_source_unref(held.watch);
-    held.watch = nullptr;
-  }
+  held.unwatch();
   SoupMessageHeaders* const head = soup_server_message_get_response_headers(held.message);
   for (std::pair<std::string const, std::string> const& item : more) soup_message_headers_replace(head, item.first.c_str(), item.second.c_str());
   if (last_calls) soup_message_headers_replace(head, "Connection", "close");
@@ -288,6 +288,7 @@
   std::map<std::uint64_t, std::unique_ptr<Held>>::iterator const spot = calls.find(id);
   if (spot == calls.end()) return;
   spot->second->answered = true;
+  spot->second->unwatch();
   soup_message_body_complete(soup_server_message_get_response_body(spot->second->message));
   soup_server_message_unpause(spot->second->message);
 }
