--- /dev/null
+++ b/proof/augury/main.cc
@@ -0,0 +1,110 @@
+// augury: runs many seeded worlds, or one, and tells which points were broken (§10.4).
+#include <atomic>
+#include <boost/program_options.hpp>
+#include <cstdio>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include "ground/events.h"
+#include "proof/augury/world.h"
+
+namespace pipit {
+namespace {
+
+namespace options = boost::program_options;
+
+int run(int argc, char** argv) {
+  std::string shape_name = "coop";
+  std::string only;
+  std::string off;
+  std::uint64_t from = 1;
+  std::uint64_t count = 20;
+  unsigned jobs = std::thread::hardware_concurrency();
+  double length = 30;
+  options::options_description flags("augury: seeded worlds of the product's cores under virtual time");
+  flags.add_options()("shape", options::value(&shape_name), "coop or utility")("from", options::value(&from), "the first seed")("seeds", options::value(&count), "how many")(
+      "jobs", options::value(&jobs))("length", options::value(&length), "seconds of trouble")("only", options::value(&only), "one kind of trouble")("off", options::value(&off), "switch one guard off")("log", "print events (one seed)")("help", "");
+  bool loud = false;
+  try {
+    options::variables_map map;
+    options::store(options::parse_command_line(argc, argv, flags), map);
+    options::notify(map);
+    loud = map.count("log") > 0;
+    if (map.count("help")) {
+      std::cout << flags << "Troubles:";
+      for (std::string const& name : World::troubles()) std::cout << " " << name;
+      std::size_t n = 0;
+      GuardRow const* const rows = guard_rows(n);
+      std::cout << "\nGuards:\n";
+      for (std::size_t i = 0; i < n; ++i) std::cout << "  " << rows[i].name << " (" << rows[i].point << "): " << rows[i].text << "\n";
+      return 0;
+    }
+  } catch (options::error const& bad) {
+    std::fprintf(stderr, "augury: %s\n", bad.what());
+    return 2;
+  }
+  Shape const* const shape = shape_of(shape_name);
+  if (shape == nullptr) return std::fprintf(stderr, "augury: there is no shape '%s'\n", shape_name.c_str()), 2;
+  bool known = only.empty();
+  for (std::string const& name : World::troubles()) known = known || name == only;
+  if (!known) return std::fprintf(stderr, "augury: there is no trouble '%s'\n", only.c_str()), 2;
+  Guard guard = Guard::none;
+  std::size_t n = 0;
+  GuardRow const* const rows = guard_rows(n);
+  for (std::size_t i = 0; i < n; ++i)
+    if (off == rows[i].name) guard = static_cast<Guard>(i);
+  if (!off.empty() && guard == Guard::none) return std::fprintf(stderr, "augury: there is no guard '%s'\n", off.c_str()), 2;
+  if (count == 0 || length <= 0 || length > 600) return std::fprintf(stderr, "augury: seeds and length must be above 0, length at most 600\n"), 2;
+  hush(!loud);
+  std::atomic<std::uint64_t> next{from};
+  std::mutex gate;
+  std::uint64_t bad = 0, done = 0, accepted = 0, reads = 0, runs = 0, troubles = 0;
+  Margins worst;
+  std::map<std::string, int> kinds;
+  std::vector<std::thread> team;
+  for (unsigned i = 0; i < std::max(1u, loud ? 1 : jobs); ++i)
+    team.emplace_back([&] {
+      guard_off() = guard;
+      for (std::uint64_t seed = next++; seed < from + count; seed = next++) {
+        WorldPlan plan;
+        plan.shape = shape;
+        plan.seed = seed;
+        plan.only = only;
+        plan.length = static_cast<Micros>(length * 1e6);
+        World world(plan);
+        WorldEnd const end = world.run();
+        std::lock_guard<std::mutex> const hold(gate);
+        done += end.done;
+        accepted += end.accepted;
+        reads += end.reads;
+        runs += end.runs;
+        troubles += end.troubles;
+        worst.mark = std::max(worst.mark, end.margins.mark);
+        worst.empty = std::max(worst.empty, end.margins.empty);
+        worst.force = std::max(worst.force, end.margins.force);
+        worst.back = std::max(worst.back, end.margins.back);
+        worst.cold = std::max(worst.cold, end.margins.cold);
+        worst.resend = std::max(worst.resend, end.margins.resend);
+        for (std::pair<std::string const, int> const& item : end.kinds) kinds[item.first] += item.second;
+        if (count == 1) std::printf("hash %016llx\n", static_cast<unsigned long long>(end.hash));
+        if (end.faults.empty()) continue;
+        ++bad;
+        if (bad <= 12)
+          for (std::size_t f = 0; f < std::min<std::size_t>(3, end.faults.size()); ++f) std::printf("seed %llu %s\n", static_cast<unsigned long long>(seed), end.faults[f].c_str());
+      }
+    });
+  for (std::thread& item : team) item.join();
+  std::printf("%s: %llu seeds, %llu with faults; %llu answers, %llu runs, %llu changes, %llu reads, %llu troubles\n", shape_name.c_str(), static_cast<unsigned long long>(count), static_cast<unsigned long long>(bad),
+              static_cast<unsigned long long>(done), static_cast<unsigned long long>(runs), static_cast<unsigned long long>(accepted), static_cast<unsigned long long>(reads), static_cast<unsigned long long>(troubles));
+  std::printf("worst: after a mark %lld ms, after an empty %lld ms, in force %lld ms, back %lld ms, cold %d, re-sends %.3f\n", static_cast<long long>(worst.mark / 1000), static_cast<long long>(worst.empty / 1000), static_cast<long long>(worst.force / 1000),
+              static_cast<long long>(worst.back / 1000), worst.cold, worst.resend);
+  for (std::pair<std::string const, int> const& item : kinds) std::printf("%s %d, ", item.first.c_str(), item.second);
+  std::printf("\n");
+  return bad == 0 && done > 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace pipit
+
+int main(int argc, char** argv) { return pipit::run(argc, argv); }
--- /dev/null
+++ b/proof/augury/world.h
@@ -0,0 +1,147 @@
+// A whole fleet of the product's cores under virtual time, with a seeded net, disks, workers and faults (§10.4).
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/node.h"
+#include "ground/guards.h"
+#include "ground/mix.h"
+#include "proof/common/shapes.h"
+
+namespace pipit {
+
+struct WorldPlan {
+  Shape const* shape = nullptr;
+  std::uint64_t seed = 1;
+  Micros length = seconds(30);  // of trouble; a quiet end follows
+  double rate = 25;             // requests a second
+  std::string only;             // one kind of trouble, or all
+};
+
+struct Margins {
+  Micros mark = -1;      // latest start after a mark
+  Micros empty = -1;     // latest start after a yes
+  Micros force = 0;      // slowest description
+  Micros back = -1;      // service after a full loss
+  int cold = 0;          // most starts in a second at a cold worker
+  double resend = 0;     // share of re-sends
+};
+
+struct WorldEnd {
+  std::uint64_t hash = 0;
+  std::uint64_t done = 0, runs = 0, refused = 0, lost = 0, accepted = 0, reads = 0, troubles = 0, frames = 0;
+  std::map<std::string, int> kinds;  // of trouble that came about
+  std::vector<std::string> faults;   // "N1 ...", empty when all held
+  Margins margins;
+};
+
+class World {
+ public:
+  explicit World(WorldPlan plan_);
+  ~World();
+  WorldEnd run();
+
+  static std::vector<std::string> troubles();
+
+ private:
+  struct Box;     // a node with its machine
+  struct Link;    // a wire between two boxes
+  struct Hand;    // a worker
+  struct Wish;    // one attempt of a caller
+  struct Change_; // an operator's change
+  struct Event_ {
+    Micros at;
+    std::uint64_t order;
+    std::function<void()> act;
+    bool operator<(Event_ const& other) const { return at != other.at ? at > other.at : order > other.order; }
+  };
+
+  void at(Micros when, std::function<void()> act);
+  void after(Micros wait, std::function<void()> act) { at(now + wait, std::move(act)); }
+  void note(std::string const& what);
+  void fault(std::string const& what);
+  Micros lag(Micros least = 300, Micros most = 4000) { return least + static_cast<Micros>(dice.below(static_cast<std::uint64_t>(most - least))); }
+
+  // machines
+  Box& add(std::string const& name, std::string const& address, std::string const& zone, Role role);
+  void boot(Box& box);
+  void halt(Box& box, bool power);
+  void freeze(Box& box, Micros span);
+  void tick(Box& box, std::uint64_t life);
+  void enter(Box& box, std::uint64_t life, std::function<void(Box&, Micros, NodeOut&)> step);
+  Micros clock(Box const& box) const;
+  void obey(Box& box, NodeOut& out);
+  bool cut(std::string const& a, std::string const& b) const { return cuts.count({a, b}) > 0; }
+  void set_cut(std::string const& a, std::string const& b, bool on);
+  void heal();
+  void dial(Box& box, std::string const& address);
+  void carry(Box& box, WireId id, std::string bytes);
+  void pass(std::shared_ptr<Link> link, int side, std::string bytes);
+  void hang(std::shared_ptr<Link> link, int from_side);
+  void save(Box& box, wire::RecordT record);
+
+  // workers and callers
+  void leg(Box& box, Start const& start);
+  void arrive(std::string const& box, std::uint64_t life, std::uint64_t errand, int leg, std::string const& worker, std::uint64_t hand_life, std::uint64_t wish);
+  void hand_up(Hand& hand);
+  void hand_down(Hand& hand);
+  void write_list();
+  void call();
+  void attempt(std::uint64_t wish);
+  void told(std::uint64_t wish, std::string const& what, Micros back);
+
+  // operators and trouble
+  void operate(Change::Sort sort, std::string const& text, std::uint64_t expected, Box& box);
+  void answered(Box& box, Reply const& reply);
+  void operator_turn();
+  void trouble();
+  void check();
+  void last_checks();
+  Box* pick(std::function<bool(Box const&)> const& fits);
+  Box* pick_up() { return pick([](Box const&) { return true; }); }
+  void full_loss();
+
+  WorldPlan const plan;
+  Dice dice;
+  Micros now = 0;
+  std::uint64_t order = 0;
+  std::priority_queue<Event_> events;
+  WorldEnd end;
+  std::map<std::string, std::unique_ptr<Box>> boxes;
+  std::map<std::string, std::unique_ptr<Hand>> hands;
+  std::set<std::pair<std::string, std::string>> cuts;
+  std::map<std::uint64_t, std::unique_ptr<Wish>> wishes;
+  std::map<std::uint64_t, std::unique_ptr<Change_>> changes;
+  std::vector<std::shared_ptr<Link>> links;
+  std::vector<std::pair<Micros, std::vector<ListRow>>> list;
+  bool list_down = false;
+  std::uint64_t lives = 0;
+  std::uint64_t wish_count = 0;
+  std::uint64_t call_count = 0;
+  std::uint64_t change_count = 0;
+  std::uint64_t link_count = 0;
+  int moved = 0;
+  int turn = 0;
+  bool quiet = false;
+  std::uint64_t yes_serial = 0;
+  std::map<std::uint64_t, std::string> serial_change;  // what was ever seen in force under a serial
+  std::map<std::uint64_t, std::pair<Micros, std::string>> yes;  // accepted applies: when, and the text
+  std::set<std::string> refused_changes;
+  std::map<std::uint64_t, Micros> due_force;
+  struct Emptied {
+    Micros from = 0;
+    Micros to = -1;
+  };
+  std::map<std::string, std::vector<Emptied>> emptied;
+  std::map<std::string, std::map<std::uint64_t, Micros>> marks;  // worker, incarnation: when
+  Micros lost_at = -1;
+  Micros back_at = -1;
+  std::uint64_t first_sends = 0, resends = 0;
+};
+
+}  // namespace pipit
--- a/src/canon/register/acceptor.cc
+++ b/src/canon/register/acceptor.cc
@@ -1,4 +1,5 @@
 #include "canon/register/acceptor.h"
+#include "ground/guards.h"
 
 namespace pipit {
 
@@ -31,7 +32,7 @@
     wire::PromiseT ans;
     ans.req = ask->req;
     ans.disk = slate.disk;
-    ans.ok = slate.promised < ask->ballot;
+    ans.ok = slate.promised < ask->ballot || !guard(Guard::promise);
     if (ans.ok) slate.promised = ask->ballot;
     ans.promised = slate.promised;
     ans.accepted = slate.accepted;
@@ -44,7 +45,7 @@
     wire::AcceptedT ans;
     ans.req = ask->req;
     ans.disk = slate.disk;
-    ans.ok = ask->value != nullptr && !(ask->ballot < slate.promised);
+    ans.ok = ask->value != nullptr && (!(ask->ballot < slate.promised) || !guard(Guard::promise));
     if (ans.ok) {
       slate.promised = ask->ballot;
       slate.accepted = ask->ballot;
@@ -88,6 +89,10 @@
     return std::nullopt;
   }
   busy = true;
+  if (!guard(Guard::sync_first)) {
+    for (Letter& reply : replies) out.push_back(std::move(reply));
+    replies.clear();
+  }
   held_back = std::move(replies);
   return slate;
 }
--- a/src/canon/register/proposer.cc
+++ b/src/canon/register/proposer.cc
@@ -1,12 +1,13 @@
 #include "canon/register/proposer.h"
 
 #include <algorithm>
+#include "ground/guards.h"
 
 namespace pipit {
 
 bool Ring::holds(std::string const& name, std::uint64_t disk) const {
   for (wire::KeeperT const& item : keepers)
-    if (item.name == name && item.disk == disk) return true;
+    if (item.name == name && (item.disk == disk || !guard(Guard::disk_id))) return true;
   return false;
 }
 
@@ -92,7 +93,7 @@
     switch (change.sort) {
       case Change::Sort::read: break;
       case Change::Sort::apply:
-        if (draft.serial != change.expected) {
+        if (draft.serial != change.expected && guard(Guard::expected)) {
           verdict = Fault{Kind::stale_serial, "the present serial is " + std::to_string(draft.serial), ""};
         } else {
           draft.text = change.text;
--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "ground/guards.h"
 #include "ground/events.h"
 
 namespace pipit {
@@ -12,6 +13,7 @@
 constexpr Micros check_gap = millis(500);
 constexpr Micros load_gap = millis(200);
 constexpr Micros jump = seconds(1);
+constexpr Micros alone_after = seconds(2);
 constexpr Micros fresh_bound = seconds(3);
 constexpr Micros confirm_bound = millis(2000);
 constexpr Micros mend_gap = seconds(3);
@@ -51,7 +53,7 @@
 }
 
 void Node::watch_clock(Micros now) {
-  if (now - last_tick > jump) {
+  if (now - last_tick > jump && guard(Guard::fresh_start)) {
     ++jumps;
     stale_from = now;
     if (plan.role == Role::passage) desk.hold(true);
@@ -194,6 +196,7 @@
   wire::ChosenT news;
   news.req = req;
   news.value = std::make_unique<wire::ValueT>(value);
+  if (!guard(Guard::spread)) return;
   std::string const bytes = encode(std::move(news));
   for (std::pair<std::string const, Peer> const& item : mesh.roll.peers)
     if (item.second.wire != 0) out.mesh.sends.push_back({item.second.wire, bytes});
@@ -244,6 +247,7 @@
   bool const greeting = frame.value()->body.type == wire::Body::Hello;
   std::string const hello_name = greeting && frame.value()->body.AsHello()->self ? frame.value()->body.AsHello()->self->name : "";
   std::string const from = mesh.frame(id, *frame.value(), now, out.mesh);
+  heard_at = now;
   take_fresh(now);
   if (greeting) {
     // §5.5: a peer that comes with an older serial is told the chosen value at once.
@@ -410,7 +414,7 @@
     wait.serial = outcome.value.serial;
     wait.due = now + confirm_bound;
     for (std::string const& name : mesh.perhaps_live())
-      if (mesh.roll.peers.at(name).role() == Role::passage) wait.owe.insert(name);
+      if (guard(Guard::confirm_all) && mesh.roll.peers.at(name).role() == Role::passage) wait.owe.insert(name);
     wait.reply = std::move(reply);
     waiting.emplace(req, std::move(wait));
     settle_waiting(now, out);
@@ -523,7 +527,7 @@
   mesh.tick(now, out.mesh);
   take_fresh(now);
   std::vector<Letter> letters;
-  if (now >= next_poll) {
+  if (now >= next_poll && (guard(Guard::spread) || learner.sure < 0 || plan.role == Role::accord)) {
     next_poll = now + poll_gap;
     learner.poll(now, keepers(), letters);
     found(now, letters);
@@ -563,6 +567,13 @@
     senders.erase(plan.name);
     fleet.sum_others(senders, now);
     look_ready(now, out);
+    // §4.3: who hears neither the list nor any peer cannot know which workers are marked, and places nothing.
+    bool const alone = now - listed_at > alone_after && now - heard_at > alone_after;
+    if (able && alone != isolated) {
+      isolated = alone;
+      tell(alone ? Event::isolated : Event::not_isolated, "");
+    }
+    desk.ready(able && !isolated);
     desk.work(now, out.desk);
   } else {
     look_ready(now, out);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -141,6 +141,8 @@
   std::set<std::string> checking;
   std::map<std::string, Micros> check_due;
   bool able = false;
+  bool isolated = false;
+  Micros heard_at = 0;
   bool leaving = false;
   Micros stale_from = -1;  // since when a jump of the clock waits for fresh knowledge
   std::uint64_t change_count = 0;
--- a/src/flow/errand/desk.cc
+++ b/src/flow/errand/desk.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "ground/guards.h"
 #include "ground/events.h"
 
 namespace pipit {
@@ -104,7 +105,7 @@
     std::vector<Worker*> field;
     for (std::pair<std::string const, Worker>& item : fleet.workers) {
       Worker& worker = item.second;
-      if (worker.row.pool != pool->name || !worker.takes() || shut.count(worker.row.zone)) continue;
+      if (worker.row.pool != pool->name || !worker.takes() || (guard(Guard::zone_veto) && shut.count(worker.row.zone))) continue;
       if (errand.lane->policy.locality == Locality::only && worker.row.zone != zone) continue;
       slots += worker.row.slots > 0 ? worker.row.slots : pool->slots;
       busy += worker.guess();
@@ -122,7 +123,7 @@
         continue;
       }
       Micros const cold = fleet.cold_for(*worker, pool->cold_span, now);
-      if (cold > 0 && !fleet.cold_room(*worker, pool->cold, self, names, now)) {
+      if (cold > 0 && guard(Guard::cold_share) && !fleet.cold_room(*worker, pool->cold, self, names, now)) {
         cold_shares += fleet.cold_share(*worker, pool->cold, self, names);
         if (cold_ends < 0 || cold < cold_ends) cold_ends = cold;
         continue;
@@ -246,6 +247,7 @@
     ran = Ran::unknown;
     kind = Kind::worker_broke;
   }
+  if (!guard(Guard::honest_ran) && ran == Ran::unknown) ran = Ran::no;
   errand.ran = std::max(errand.ran, ran);
   // §6.6: a broken wire may mean that the worker ended; it is asked before it gets anything more.
   Worker const* const worker = fleet.find(errand.worker);
@@ -253,8 +255,8 @@
       fleet.doubt(errand.worker, errand.life, now))
     out.doubts.emplace_back(errand.worker, errand.life);
   tell(Event::leg_failed, errand.worker + " " + kind_row(kind).name + " " + why);
-  bool const may_repeat = errand.safe || !errand.left;
-  bool const again = !errand.begun && may_repeat && !draining && errand.legs < errand.lane->policy.tries && now < errand.due + errand.lane->policy.answer && bucket >= 1.0;
+  bool const may_repeat = errand.safe || !errand.left || !guard(Guard::never_repeat);
+  bool const again = !errand.begun && may_repeat && !draining && errand.legs < errand.lane->policy.tries && now < errand.due + errand.lane->policy.answer && (bucket >= 1.0 || !guard(Guard::bucket));
   if (again) {
     Choice const choice = select(errand, 0, now);
     if (choice.say == Say::go) return go(errand, choice, now, out);
@@ -286,6 +288,10 @@
       give_up(errand, Fault{held ? Kind::not_ready : Kind::expired, "", ""}, 0, out);
       continue;
     }
+    if (!open) {
+      give_up(errand, Fault{Kind::not_ready, "", ""}, 0, out);
+      continue;
+    }
     if (held || idle >= 64) {
       ++ahead;
       continue;
--- a/src/flow/fleet/fleet.cc
+++ b/src/flow/fleet/fleet.cc
@@ -2,6 +2,7 @@
 
 #include <simdjson.h>
 
+#include "ground/guards.h"
 #include "ground/events.h"
 #include "ground/ip.h"
 #include "ground/mix.h"
@@ -107,7 +108,7 @@
     worker.row.zone = row.zone;
     worker.row.pool = row.pool;
     worker.row.slots = slots;
-    if (row.leaving) {
+    if (row.leaving && guard(Guard::local_veto)) {
       worker.absent = false;
       if (worker.standing == Standing::serving) bury(worker, Standing::leaving);
     } else if (worker.standing == Standing::gone && worker.absent && ++worker.seen_again >= revive_after) {
@@ -120,6 +121,7 @@
     Worker& worker = item.second;
     if (seen.count(item.first)) continue;
     worker.seen_again = 0;
+    if (!guard(Guard::local_veto)) continue;
     if (!worker.listed) continue;  // known by entries only: this node's list may be behind
     worker.listed = false;
     if (worker.standing == Standing::gone) continue;
--- a/src/ground/events.h
+++ b/src/ground/events.h
@@ -12,6 +12,8 @@
   EVENT(103, settings_taken, INFO, "new settings are in force")                  \
   EVENT(104, settings_refused, WARNING, "new settings were refused; the old stay") \
   EVENT(105, clock_jumped, WARNING, "the node was stopped for a while")          \
+  EVENT(106, isolated, WARNING, "neither the list nor any peer is heard; nothing is placed") \
+  EVENT(107, not_isolated, INFO, "the list or a peer is heard again")             \
   EVENT(200, wire_open, INFO, "a wire to a peer is open")                        \
   EVENT(201, wire_shut, INFO, "a wire to a peer has ended")                      \
   EVENT(202, wire_garbage, WARNING, "a wire brought what is no frame")           \
--- /dev/null
+++ b/src/ground/guards.cc
@@ -0,0 +1,25 @@
+#include "ground/guards.h"
+
+#include <iterator>
+
+namespace pipit {
+
+namespace {
+GuardRow const rows[] = {
+#define GUARD(name, point, text) {#name, point, text},
+    PIPIT_GUARDS(GUARD)
+#undef GUARD
+};
+}  // namespace
+
+GuardRow const* guard_rows(std::size_t& count) {
+  count = std::size(rows);
+  return rows;
+}
+
+Guard& guard_off() {
+  thread_local Guard off = Guard::none;
+  return off;
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/ground/guards.h
@@ -0,0 +1,44 @@
+// Guards that the proof switches off one at a time, to show that its checkers would see them missing (§10.4).
+// In the product they are all on: nothing outside the simulator can change them.
+#pragma once
+#include <cstdint>
+#include <string>
+
+namespace pipit {
+
+// GUARD(name, point, sentence)
+#define PIPIT_GUARDS(GUARD)                                                        \
+  GUARD(never_repeat, "N1", "a leg that may not repeat is not sent again")         \
+  GUARD(honest_ran, "N2", "a leg that may have left is not said not to have run")  \
+  GUARD(local_veto, "N5", "a mark in the list stops placing here")                 \
+  GUARD(zone_veto, "N6", "an emptied zone gets nothing")                           \
+  GUARD(confirm_all, "N6", "yes to an empty waits for every node")                 \
+  GUARD(fresh_start, "N6", "a jumped clock holds placing until all is read again") \
+  GUARD(spread, "N7", "chosen values are pushed and polled")                       \
+  GUARD(expected, "N8", "a change is made against its expected serial")            \
+  GUARD(promise, "N9", "an acceptor refuses older ballots")                        \
+  GUARD(sync_first, "N9", "an acceptor answers after its sync")                    \
+  GUARD(disk_id, "N9", "a keeper that lost its disk has no vote")                  \
+  GUARD(bucket, "N10", "re-sends are paid from first sends")                       \
+  GUARD(cold_share, "N11", "a cold worker gets each node's share")                 \
+  GUARD(redial, "N12", "DOWN peers and seeds are dialled on")
+
+enum class Guard : std::uint8_t {
+#define GUARD(name, point, text) name,
+  PIPIT_GUARDS(GUARD)
+#undef GUARD
+  none
+};
+
+struct GuardRow {
+  char const* name;
+  char const* point;
+  char const* text;
+};
+GuardRow const* guard_rows(std::size_t& count);
+
+// The one that is off in this thread.
+Guard& guard_off();
+inline bool guard(Guard item) { return guard_off() != item; }
+
+}  // namespace pipit
--- a/src/kin/mesh.cc
+++ b/src/kin/mesh.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "ground/guards.h"
 #include "ground/events.h"
 
 namespace pipit {
@@ -124,11 +125,12 @@
   for (std::pair<std::string const, Peer>& item : roll.peers) {
     Peer& peer = item.second;
     if (peer.wire != 0 || peer.state() == State::leaving) continue;
+    if (peer.state() == State::down && !guard(Guard::redial)) continue;
     // §3.2: the name that sorts first opens the pair's wire; the other steps in when none has come.
     if (roll.self.name < item.first || now - peer.bare_since > plan.round) dial(peer, now, out);
   }
   for (Seed& seed : seeds) {
-    if (seed.dialling || now < seed.next_dial) continue;
+    if (seed.dialling || now < seed.next_dial || (seed.pause > 0 && !guard(Guard::redial))) continue;
     bool known = false;
     for (std::pair<std::string const, Peer> const& item : roll.peers)
       if (item.second.member.address == seed.address && item.second.state() != State::leaving) known = true;
