--- a/proof/augury/world.cc
+++ b/proof/augury/world.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "flow/index/path.h"
+#include "ground/events.h"
 
 namespace pipit {
 
@@ -191,6 +192,7 @@
     box.deferred.push_back([this, name, life, step = std::move(step)] { enter(*boxes[name], life, step); });
     return;
   }
+  if (!hushed()) speaker() = std::to_string(now / 1000) + " " + box.name + " ";
   NodeOut out;
   step(box, clock(box), out);
   obey(box, out);
@@ -260,8 +262,10 @@
   link->life[1] = target->life;
   links.push_back(link);
   Micros const there = lag();
+  Micros const back = there + lag();
+  link->last[1] = now + back;  // nothing reaches the dialler before its wire is open
   for (int side = 0; side < 2; ++side)
-    after(side == 1 ? there : there + lag(), [this, link, side, address] {
+    after(side == 1 ? there : back, [this, link, side, address] {
       Box& item = *boxes[link->name[side]];
       if (!item.up() || item.life != link->life[side]) return;
       if (!link->open) return;
@@ -662,6 +666,7 @@
   }
   if (!holds) return;
   std::uint64_t const serial = outcome.value.serial;
+  std::uint64_t const own = outcome.serial;
   // Whatever is read or chosen is not older than what was accepted before it was asked for.
   if (serial < change.floor) fault("N9 " + reply.change + " saw serial " + std::to_string(serial) + " after " + std::to_string(change.floor) + " was accepted");
   std::map<std::uint64_t, std::string>::const_iterator const seen = serial_change.find(serial);
@@ -679,12 +684,12 @@
   }
   if (outcome.sort == Outcome::Sort::chosen) {
     ++end.accepted;
-    yes_serial = std::max(yes_serial, serial);
-    due_force[serial] = now;
+    yes_serial = std::max(yes_serial, own);
+    due_force[own] = now;
     if (change.sort == Change::Sort::apply) {
-      if (yes.count(serial)) fault("N8 two rivals were told yes for serial " + std::to_string(serial));
-      if (serial != change.expected + 1) fault("N8 a change was accepted against the wrong serial");
-      yes[serial] = {now, change.text};
+      if (yes.count(own)) fault("N8 two rivals were told yes for serial " + std::to_string(own));
+      if (own != change.expected + 1) fault("N8 a change was accepted against the wrong serial");
+      yes[own] = {now, change.text};
     }
   }
   if (change.sort == Change::Sort::empty && reply.missing.empty()) {
--- a/src/canon/register/proposer.cc
+++ b/src/canon/register/proposer.cc
@@ -33,11 +33,11 @@
   if (phase == Phase::first) phase = Phase::pause;  // round one begins anew with the newer set
 }
 
-bool Proposer::holds_change(wire::ValueT const& value, std::string const& id) {
-  if (value.change == id) return true;
+std::uint64_t Proposer::serial_of(wire::ValueT const& value, std::string const& id) {
+  if (value.change == id) return value.serial;
   for (std::unique_ptr<wire::MarkT> const& mark : value.past)
-    if (mark->change == id) return true;
-  return false;
+    if (mark->change == id) return mark->serial;
+  return 0;
 }
 
 void Proposer::start(Micros now, std::vector<Letter>& out) {
@@ -79,7 +79,7 @@
   Change const& change = job.change;
   draft = found ? *found : wire::ValueT();
   draft_new = false;
-  bool const mine = holds_change(draft, change.id);
+  bool const mine = serial_of(draft, change.id) > 0;
   // The value remembers its last changes only. Where that memory no longer reaches back, nothing is certain.
   if (!mine && job.sent && !draft.past.empty() && draft.past.front()->serial > job.sent_serial) {
     Outcome lost;
@@ -195,8 +195,8 @@
       outcome.sort = Outcome::Sort::refused;
       outcome.fault = *verdict;
     } else {
-      bool const mine = holds_change(draft, jobs.front().change.id);
-      outcome.sort = mine ? Outcome::Sort::chosen : Outcome::Sort::kept;
+      outcome.serial = serial_of(draft, jobs.front().change.id);
+      outcome.sort = outcome.serial > 0 ? Outcome::Sort::chosen : Outcome::Sort::kept;
     }
     finish(outcome);
   }
--- a/src/canon/register/proposer.h
+++ b/src/canon/register/proposer.h
@@ -28,6 +28,7 @@
   enum class Sort : std::uint8_t { chosen, kept, refused, unknown };
   Sort sort = Sort::unknown;
   Fault fault;
+  std::uint64_t serial = 0;  // of the change itself, when it was chosen; the value may be newer
   wire::ValueT value;  // the value chosen in the end, when one was
 };
 
@@ -58,6 +59,8 @@
   void tick(Micros now, std::vector<Letter>& out);
   std::size_t waiting() const { return jobs.size(); }
   Ring const& ring() const { return set; }
+  // The serial under which a value remembers a change; 0 when it does not.
+  static std::uint64_t serial_of(wire::ValueT const& value, std::string const& id);
 
  private:
   enum class Phase : std::uint8_t { idle, pause, first, second };
@@ -73,7 +76,6 @@
   void again(Micros now, std::uint64_t seen);
   void accept(Micros now, std::vector<Letter>& out);
   void finish(Outcome const& outcome);
-  static bool holds_change(wire::ValueT const& value, std::string const& id);
 
   std::string const self;
   ProposerPlan const plan;
--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -411,7 +411,7 @@
   }
   if (change.sort == Change::Sort::empty && holds) {
     Waiting wait;
-    wait.serial = outcome.value.serial;
+    wait.serial = outcome.serial > 0 ? outcome.serial : outcome.value.serial;
     wait.due = now + confirm_bound;
     for (std::string const& name : mesh.perhaps_live())
       if (guard(Guard::confirm_all) && mesh.roll.peers.at(name).role() == Role::passage) wait.owe.insert(name);
--- a/src/ground/events.cc
+++ b/src/ground/events.cc
@@ -32,13 +32,20 @@
   el::Loggers::reconfigureLogger("default", conf);
 }
 
+bool hushed() { return quiet_now; }
+
+std::string& speaker() {
+  thread_local std::string who;
+  return who;
+}
+
 void hush(bool quiet) { quiet_now = quiet; }
 
 void tell(Event event, std::string const& detail) {
   if (quiet_now) return;
   switch (event) {
 #define EVENT(number, name, level, text) \
-  case Event::name: LOG(level) << "E" << number << " " << text << (detail.empty() ? "" : ": ") << detail; break;
+  case Event::name: LOG(level) << speaker() << "E" << number << " " << text << (detail.empty() ? "" : ": ") << detail; break;
     PIPIT_EVENTS(EVENT)
 #undef EVENT
   }
--- a/src/ground/events.h
+++ b/src/ground/events.h
@@ -69,5 +69,8 @@
 void open_log(std::string const& who, std::string const& file);
 void tell(Event event, std::string const& detail);
 void hush(bool quiet);
+bool hushed();
+// Put before each event of this thread: the simulator's word for who speaks, and when.
+std::string& speaker();
 
 }  // namespace pipit
--- a/src/hull/host.cc
+++ b/src/hull/host.cc
@@ -345,16 +345,14 @@
     return front->answer(item.id, 200, "application/json", value.text, {{"X-Pipit-Serial", std::to_string(value.serial)}, {"X-Pipit-Emptied", emptied}, {"ETag", std::to_string(value.serial)}});
   }
   if (what.first == Change::Sort::read) {
-    std::uint64_t serial = value.change == what.second ? value.serial : 0;
-    for (std::unique_ptr<wire::MarkT> const& mark : value.past)
-      if (mark->change == what.second) serial = mark->serial;
+    std::uint64_t const serial = Proposer::serial_of(value, what.second);
     if (serial == 0) return refuse(item.id, Fault{Kind::unknown_change, "", ""});
     Jot jot;
     jot.open().key("change").text(what.second).key("serial").number(static_cast<std::int64_t>(serial)).shut();
     return front->answer(item.id, 200, "application/json", jot.take());
   }
   Jot jot;
-  jot.open().key("serial").number(static_cast<std::int64_t>(value.serial)).key("change").text(item.change);
+  jot.open().key("serial").number(static_cast<std::int64_t>(outcome.serial > 0 ? outcome.serial : value.serial)).key("change").text(item.change);
   jot.key("changed").truth(outcome.sort == Outcome::Sort::chosen);
   if (what.first == Change::Sort::empty) {
     jot.key("unconfirmed").list();
