A peer's newer wire replaces an old one; a remnant no longer outlives its end

Cause: when a peer lost its power or was cut, the old wire stayed half-open here, and of two wires the one opened by the first name was kept, so the returning peer's wire was shut again and again until probes ended the old one; N7 took more than two seconds. Ruled out: the poll (it ran, on no wire) and the push. A peer dials only when it has no wire, so an older one is a remnant, by its incarnation or its age.

--- a/src/kin/mesh.cc
+++ b/src/kin/mesh.cc
@@ -44,7 +44,7 @@
 }
 
 void Mesh::opened(WireId id, bool outbound, std::string const& address, Micros now, Sends& out) {
-  wires[id] = Wire{"", outbound, address, now, now};
+  wires[id] = Wire{"", outbound, address, now, now, 0};
   if (outbound) {
     for (Seed& seed : seeds)
       if (seed.address == address) seed.dialling = false;
@@ -265,6 +265,7 @@
   }
   std::string const& name = hello.self->name;
   wires[id].peer = name;
+  wires[id].life = hello.self->incarnation;
   if (roll.merge(*hello.self, now) == Roll::News::fresh) tell_member(*hello.self, out);
   Peer& peer = roll.peers.at(name);
   peer.refused = false;
@@ -274,7 +275,13 @@
     bool const old_mine = wires[peer.wire].outbound;
     bool const new_mine = wires[id].outbound;
     bool const self_first = roll.self.name < name;
-    if (old_mine == new_mine) {
+    // A peer dials only when it has no wire. So an older one is a remnant, of a former life or of a cut, unless
+    // both sides dialled in the same moment.
+    bool const remnant = wires[peer.wire].life != hello.self->incarnation || now - wires[peer.wire].opened > plan.round;
+    if (remnant) {
+      out.shuts.push_back(peer.wire);
+      wires.erase(peer.wire);
+    } else if (old_mine == new_mine) {
       if (new_mine) {
         out.shuts.push_back(peer.wire);
         wires.erase(peer.wire);
--- a/src/kin/mesh.h
+++ b/src/kin/mesh.h
@@ -65,6 +65,7 @@
     std::string address;
     Micros opened = 0;
     Micros heard = 0;
+    std::uint64_t life = 0;  // the peer's incarnation when it greeted
   };
   struct Probe {
     std::string peer;
