--- a/proof/augury/world.cc
+++ b/proof/augury/world.cc
@@ -1,6 +1,7 @@
 #include "proof/augury/world.h"
 
 #include <algorithm>
+#include <cstdio>
 
 #include "flow/index/path.h"
 #include "ground/events.h"
@@ -9,6 +10,8 @@
 
 struct World::Box {
   std::string name, address, zone;
+  std::vector<std::string> seeds;
+  std::string seeded_at;
   Role role = Role::passage;
   std::unique_ptr<Node> node;
   std::uint64_t life = 0;
@@ -24,6 +27,7 @@
   WireId next_wire = 0;
   std::map<std::uint64_t, std::uint64_t> errands;  // errand to wish
   std::map<std::uint64_t, int> legs;               // errand to the leg that runs
+  std::map<std::uint64_t, int> begun;              // errand to the leg whose answer began
   std::uint64_t next_errand = 0;
   std::uint64_t serial = 0;
   Micros troubled = -seconds(60);  // when it was last cut, frozen, ended or started
@@ -105,12 +109,14 @@
 void World::boot(Box& box) {
   if (box.up()) return;
   box.life = ++lives;
+  if (!hushed()) std::printf("default] %lld BOOT %s %s\n", static_cast<long long>(now / 1000), box.name.c_str(), box.address.c_str());
   box.frozen = false;
   box.power = false;
   box.deferred.clear();
   box.wires.clear();
   box.errands.clear();
   box.legs.clear();
+  box.begun.clear();
   box.serial = 0;
   box.troubled = now;
   NodePlan p;
@@ -118,7 +124,16 @@
   p.zone = box.zone;
   p.address = box.address;
   p.role = box.role;
-  for (int i = 1; i <= 3; ++i) p.seeds.push_back("10.0.2." + std::to_string(i) + ":7000");
+  // A machine is set up with the addresses that the first three keepers have by then, and keeps them.
+  if (box.seeds.empty() || box.seeded_at != box.address) {
+    box.seeds.clear();
+    box.seeded_at = box.address;
+    for (int i = 1; i <= 3; ++i) {
+      std::string const name = "k" + std::to_string(i);
+      box.seeds.push_back(boxes.count(name) ? boxes[name]->address : "10.0.2." + std::to_string(i) + ":7000");
+    }
+  }
+  p.seeds = box.seeds;
   if (box.role == Role::accord)
     for (int i = 1; i <= plan.shape->keepers; ++i) p.founders.push_back("k" + std::to_string(i));
   p.incarnation = 1000 + lives;
@@ -464,10 +479,10 @@
     if (hands[worker]->life != hand_life) return done(LegEnd::unreached);
     // The wire is open: from here a byte may have left, even if this node is stopped in the very next moment.
     item.node->leg_sent(errand);
-    after(lag(), [this, name, life, errand, number, worker, hand_life, wish] { arrive(name, life, errand, number, worker, hand_life, wish); });
+    after(lag(), [this, name, life, errand, number, worker, hand_life, wish, stall] { arrive(name, life, errand, number, worker, hand_life, wish, stall); });
     after(answer, [this, name, life, errand, number, worker, hand_life, wish, done] {
       Box& late = *boxes[name];
-      if (late.up() && late.life == life && late.legs.count(errand) && late.legs[errand] == number && hands[worker]->runs.count(wish)) {
+      if (late.up() && late.life == life && late.legs.count(errand) && late.legs[errand] == number && !(late.begun.count(errand) && late.begun[errand] == number)) {
         hands[worker]->runs.erase(wish);
         done(LegEnd::silent);
       }
@@ -475,7 +490,7 @@
   });
 }
 
-void World::arrive(std::string const& name, std::uint64_t life, std::uint64_t errand, int number, std::string const& worker, std::uint64_t hand_life, std::uint64_t wish) {
+void World::arrive(std::string const& name, std::uint64_t life, std::uint64_t errand, int number, std::string const& worker, std::uint64_t hand_life, std::uint64_t wish, Micros stall) {
   Hand& hand = *hands[worker];
   auto const done = [this, name, life, errand, number](LegEnd how) {
     enter(*boxes[name], life, [errand, number, how](Box& b, Micros t, NodeOut& out) {
@@ -490,7 +505,7 @@
   };
   if (hand.life != hand_life) return after(lag(), [done] { done(LegEnd::broke); });
   if (hand.frozen) {  // it lies in the worker's socket until the worker wakes
-    after(millis(200), [this, name, life, errand, number, worker, hand_life, wish] { arrive(name, life, errand, number, worker, hand_life, wish); });
+    after(millis(200), [this, name, life, errand, number, worker, hand_life, wish, stall] { arrive(name, life, errand, number, worker, hand_life, wish, stall); });
     return;
   }
   Box& box = *boxes[name];
@@ -500,7 +515,8 @@
   note(worker + " runs " + item.tag);
   // The bounds on where requests may go are judged where they arrive.
   std::map<std::uint64_t, Micros> const& marked = marks[worker];
-  if (marked.count(hand.life)) {
+  bool const unread = list_down && marked.count(hand.life) && marked.at(hand.life) >= list_down_from - millis(1500);
+  if (marked.count(hand.life) && !unread) {
     Micros const gap = now - marked.at(hand.life);
     end.margins.mark = std::max(end.margins.mark, gap);
     if (gap > seconds(3)) fault("N5 " + worker + " got a request from " + name + " " + std::to_string(gap / 1000) + " ms after its mark");
@@ -533,12 +549,17 @@
       return;
     }
     if (here.frozen) return;  // the answer's time will run out
-    enter(*boxes[name], life, [errand](Box& b, Micros, NodeOut&) { b.node->leg_began(errand); });
+    enter(*boxes[name], life, [errand, number](Box& b, Micros, NodeOut&) {
+      if (!b.legs.count(errand) || b.legs[errand] != number) return;
+      b.begun[errand] = number;
+      b.node->leg_began(errand);
+    });
   });
-  after(whole, [this, worker, hand_life, wish, done] {
+  after(whole, [this, worker, hand_life, wish, stall, done] {
     Hand& here = *hands[worker];
     if (here.life != hand_life) return done(LegEnd::torn);
-    if (!here.runs.count(wish) || here.frozen) return;
+    if (here.frozen) return after(stall, [done] { done(LegEnd::torn); });
+    if (!here.runs.count(wish)) return;
     here.runs.erase(wish);
     here.history.emplace_back(now, static_cast<std::int64_t>(here.runs.size()));
     ++wishes[wish]->ended;
@@ -751,6 +772,7 @@
   ++end.troubles;
   ++end.kinds[sort];
   note("trouble " + sort);
+  if (!hushed()) std::printf("default] %lld TROUBLE %s\n", static_cast<long long>(now / 1000), sort.c_str());
   Micros const span = lag(millis(500), millis(6000));
   bool const loss_under_way = lost_at >= 0 && now - lost_at < seconds(12);
   std::vector<std::string> names;
@@ -882,8 +904,15 @@
     });
   } else if (sort == "list") {
     list_down = true;
-    // What is marked while the list cannot be read by anybody is known to nobody.
-    after(span, [this] { list_down = false; });
+    list_down_from = now;
+    // What is marked while nobody can read the list is known to nobody: such a mark counts from when it can be read.
+    Micros const from = now;
+    after(span, [this, from] {
+      list_down = false;
+      for (std::pair<std::string const, std::map<std::uint64_t, Micros>>& worker : marks)
+        for (std::pair<std::uint64_t const, Micros>& mark : worker.second)
+          if (mark.second >= from - millis(1500)) mark.second = now;
+    });
   } else if (sort == "race") {
     for (int i = 0; i < 2 + static_cast<int>(dice.below(3)); ++i)
       if (Box* const at_box = pick_up()) operate(Change::Sort::apply, description_of(*plan.shape, ++turn), yes_serial, *at_box);
--- a/proof/augury/world.h
+++ b/proof/augury/world.h
@@ -87,7 +87,7 @@
 
   // workers and callers
   void leg(Box& box, Start const& start);
-  void arrive(std::string const& box, std::uint64_t life, std::uint64_t errand, int leg, std::string const& worker, std::uint64_t hand_life, std::uint64_t wish);
+  void arrive(std::string const& box, std::uint64_t life, std::uint64_t errand, int leg, std::string const& worker, std::uint64_t hand_life, std::uint64_t wish, Micros stall);
   void hand_up(Hand& hand);
   void hand_down(Hand& hand);
   void write_list();
@@ -120,6 +120,7 @@
   std::vector<std::shared_ptr<Link>> links;
   std::vector<std::pair<Micros, std::vector<ListRow>>> list;
   bool list_down = false;
+  Micros list_down_from = 0;
   std::uint64_t lives = 0;
   std::uint64_t wish_count = 0;
   std::uint64_t call_count = 0;
