Grants: rivals that each hold a part give it back and step aside

Cause: three keepers asked in the same moment, each got its own vote first, and each renewed it before it lapsed. Ruled out: the term's wait after a start, and the set.

--- a/src/canon/grant/grants.cc
+++ b/src/canon/grant/grants.cc
@@ -3,7 +3,11 @@
 namespace pipit {
 
 bool Granter::ask(std::string const& who, std::string const& duty, Micros term, Micros now) {
-  if (term <= 0 || term > grant_term || now - born < grant_term) return false;
+  if (term == 0) {
+    if (held[duty].who == who) held.erase(duty);
+    return false;
+  }
+  if (term < 0 || term > grant_term || now - born < grant_term) return false;
   Held& item = held[duty];
   if (item.who != who && now < item.until) return false;
   item = Held{who, now + term};
@@ -11,15 +15,29 @@
 }
 
 void Holder::tick(Micros now, Ring const& ring, std::vector<Letter>& out) {
-  if (now - asked < grant_term / 3 || ring.keepers.empty()) return;
+  if (now < next || ring.keepers.empty()) return;
+  if (asked >= 0 && !holds(now) && !yes.empty() && yes.size() < ring.majority()) {
+    // Rivals each hold a part. Whoever fails gives its part back and steps aside for a random while; else each
+    // would renew its own part for ever.
+    send(0, ring, out);
+    asked = -1;
+    yes.clear();
+    next = now + millis(200) + static_cast<Micros>(dice.below(static_cast<std::uint64_t>(grant_term / 2)));
+    return;
+  }
   asked = now;
-  ++req;
+  next = now + grant_term / 3;
   yes.clear();
+  send(grant_term, ring, out);
+}
+
+void Holder::send(Micros term, Ring const& ring, std::vector<Letter>& out) {
+  ++req;
   for (wire::KeeperT const& keeper : ring.keepers) {
     wire::GrantAskT ask;
     ask.req = req;
     ask.duty = duty;
-    ask.term = grant_term;
+    ask.term = term;
     out.push_back(letter(keeper.name, std::move(ask)));
   }
 }
--- a/src/canon/grant/grants.h
+++ b/src/canon/grant/grants.h
@@ -15,6 +15,7 @@
 class Granter {
  public:
   explicit Granter(Micros born_) : born(born_) {}
+  // A term of 0 gives back what was granted.
   bool ask(std::string const& who, std::string const& duty, Micros term, Micros now);
 
  private:
@@ -29,16 +30,20 @@
 // On the node that wants a duty.
 class Holder {
  public:
-  Holder(std::string duty_, std::uint64_t seed) : duty(std::move(duty_)), req(stir(seed ^ mix(duty)) >> 8) {}
+  Holder(std::string duty_, std::uint64_t seed) : duty(std::move(duty_)), dice(seed ^ mix(duty)), req(dice.roll() >> 8) {}
   void tick(Micros now, Ring const& ring, std::vector<Letter>& out);
   void take(std::string const& from, wire::GrantAnsT const& ans, Micros now, Ring const& ring);
   // The holder's own end is earlier than the granters' by a fifth, for clocks that run at different rates.
   bool holds(Micros now) const { return now < until; }
 
  private:
+  void send(Micros term, Ring const& ring, std::vector<Letter>& out);
+
   std::string const duty;
+  Dice dice;
   std::uint64_t req;
-  Micros asked = -grant_term;
+  Micros next = 0;
+  Micros asked = -1;
   Micros until = -1;
   std::set<std::string> yes;
 };
