--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -518,7 +518,8 @@
   } else {
     return;
   }
-  tell(change.sort == Change::Sort::read ? Event::copies_mended : Event::keeper_swapped, change.keeper.name);
+  static char const* const words[] = {"", "", "", "", "admit ", "dismiss "};
+  tell(change.sort == Change::Sort::read ? Event::copies_mended : Event::keeper_swapped, words[static_cast<std::size_t>(change.sort)] + change.keeper.name + " epoch " + std::to_string(ring.epoch));
   duty_busy = true;
   operate(0, std::move(change), now, out);
 }
--- a/src/kin/mesh.cc
+++ b/src/kin/mesh.cc
@@ -76,6 +76,11 @@
   ledger.drop(name);
 }
 
+void Mesh::drop(WireId id, Micros now, Sends& out) {
+  out.shuts.push_back(id);
+  unbind(id, now);
+}
+
 void Mesh::shut(WireId id, Micros now, Sends& out) {
   std::map<WireId, Wire>::const_iterator const spot = wires.find(id);
   if (spot == wires.end()) return;
@@ -177,10 +182,7 @@
     roll.mark(peer, State::suspected, now);
   } else if (peer.state() == State::suspected) {
     roll.mark(peer, State::down, now);
-    if (peer.wire != 0) {
-      out.shuts.push_back(peer.wire);
-      unbind(peer.wire, now);
-    }
+    if (peer.wire != 0) drop(peer.wire, now, out);
   } else {
     return;
   }
@@ -198,6 +200,9 @@
     if (!it->second.indirect) {
       it->second.indirect = true;
       it->second.due = now + plan.probe;
+      // §3.4: a wire that stayed silent through a direct probe is given up and dialled anew, while others ask too.
+      std::map<std::string, Peer>::const_iterator const who = roll.peers.find(name);
+      if (who != roll.peers.end() && who->second.wire != 0 && now - wires[who->second.wire].heard > plan.quiet) drop(who->second.wire, now, out);
       std::vector<std::string> hands;
       for (std::pair<std::string const, Peer> const& item : roll.peers)
         if (item.first != name && item.second.wire != 0 && item.second.state() == State::alive)
@@ -223,6 +228,8 @@
   for (std::map<std::uint64_t, Relay>::iterator it = relays.begin(); it != relays.end();)
     it = now >= it->second.due ? relays.erase(it) : std::next(it);
 
+  for (std::pair<std::string const, Peer>& item : roll.peers)
+    if (item.second.wire != 0 && item.second.state() == State::alive && now - wires[item.second.wire].heard > plan.quiet) probe(item.second, now, out);
   if (now >= next_round) {
     next_round = now + plan.round;
     std::vector<Peer*> field;
@@ -240,10 +247,7 @@
       bool const mute = item.second.peer.empty() && now - item.second.opened > seconds(5);
       if (mute || now - item.second.heard > plan.idle) stale.push_back(item.first);
     }
-    for (WireId const id : stale) {
-      out.shuts.push_back(id);
-      unbind(id, now);
-    }
+    for (WireId const id : stale) drop(id, now, out);
   }
   dials(now, out);
 }
@@ -259,8 +263,7 @@
 void Mesh::greet(WireId id, wire::HelloT const& hello, Micros now, Sends& out) {
   if (hello.cluster != plan.cluster || !hello.self || hello.self->name.empty() || hello.self->name == roll.self.name) {
     tell(Event::wire_foreign, hello.cluster);
-    out.shuts.push_back(id);
-    unbind(id, now);
+    drop(id, now, out);
     return;
   }
   std::string const& name = hello.self->name;
@@ -312,6 +315,10 @@
   for (std::unique_ptr<wire::MemberT> const& item : table) {
     Roll::News const news = roll.merge(*item, now);
     if (news == Roll::News::refuted) tell_member(roll.self, out);
+    // A peer that lives anew cannot have the wire of its former life.
+    if (news != Roll::News::fresh) continue;
+    std::map<std::string, Peer>::const_iterator const who = roll.peers.find(item->name);
+    if (who != roll.peers.end() && who->second.wire != 0 && wires[who->second.wire].life < item->incarnation) drop(who->second.wire, now, out);
   }
 }
 
@@ -327,8 +334,7 @@
   std::string const name = spot->second.peer;
   if (name.empty()) {
     tell(Event::wire_garbage, "a frame before the greeting");
-    out.shuts.push_back(id);
-    unbind(id, now);
+    drop(id, now, out);
     return "";
   }
   switch (frame.body.type) {
