A keeper is dismissed only while the set that stays has its majority here

Cause: with one disk lost and another keeper merely without power, the duty dismissed the latter, whose vote was still needed.

--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -499,11 +499,22 @@
       spare.disk = item.second.disk;
       if (mesh.roll.peers.count(item.first)) spare.address = mesh.roll.peers.at(item.first).member.address;
     }
+  std::size_t here = 0;
+  bool proven = false;
   for (wire::KeeperT const& keeper : ring.keepers) {
     std::map<std::string, Learner::Sight>::const_iterator const sight = learner.sights.find(keeper.name);
-    bool const here = sight != learner.sights.end() && sight->second.disk == keeper.disk && now - sight->second.at < keeper_lost;
-    if (!here && now - born > keeper_lost) lost = keeper;
+    bool const seen = sight != learner.sights.end() && now - sight->second.at < keeper_lost;
+    bool const whole = seen && sight->second.disk == keeper.disk;
+    if (whole) ++here;
+    // One that is here with another disk has lost its own for good; one that is only away may come back.
+    bool const gone = seen && !whole;
+    if (whole || proven || now - born <= keeper_lost) continue;
+    lost = keeper;
+    proven = gone;
   }
+  // The set that stays must have its majority here and now: else the last vote would be given away with no way back.
+  std::size_t const rest = ring.keepers.size() - 1;
+  if (rest == 0 || here < rest / 2 + 1) lost.name.clear();
   std::size_t const target = std::max<std::size_t>(1, plan.founders.size());
   if (!spare.name.empty() && ring.keepers.size() < target) {
     change.sort = Change::Sort::admit;
