A peer that moves while it is dialled is dialled anew; promises and measurements

Cause: the dial under way was known by its address only, so its end was never matched once the peer's address changed.

--- a/proof/augury/world.cc
+++ b/proof/augury/world.cc
@@ -285,7 +285,10 @@
     after(side == 1 ? there : back, [this, link, side, address] {
       Box& item = *boxes[link->name[side]];
       if (!item.up() || item.life != link->life[side]) return;
-      if (!link->open) return;
+      if (!link->open) {  // the other side ended it already
+        if (side == 0) enter(item, item.life, [address](Box& b, Micros t, NodeOut& out) { b.node->dial_failed(address, false, t, out); });
+        return;
+      }
       link->wire[side] = ++item.next_wire;
       item.wires[link->wire[side]] = {link, side};
       WireId const id = link->wire[side];
@@ -1038,6 +1041,12 @@
     serials.insert(item.second->node->learner.serial());
     if (!item.second->node->ready()) fault("N12 " + item.first + " is not ready after a quiet while");
   }
+  if (serials.size() != 1 && !hushed())
+    for (std::pair<std::string const, std::unique_ptr<Box>> const& item : boxes)
+      if (item.second->up())
+        for (std::pair<std::string const, Peer> const& peer : item.second->node->mesh.roll.peers)
+          if (peer.first[0] == 'k')
+            std::printf("%s serial %llu knows %s at %s %s wire %llu dialling %d refused %d\n", item.first.c_str(), static_cast<unsigned long long>(item.second->node->learner.serial()), peer.first.c_str(), peer.second.member.address.c_str(), state_word(peer.second.state()), static_cast<unsigned long long>(peer.second.wire), peer.second.dialling, peer.second.refused);
   if (serials.size() != 1) fault("N7 nodes differ in serial after a quiet while");
   else if (*serials.begin() < yes_serial) fault("N9 serial " + std::to_string(yes_serial) + " was accepted, and " + std::to_string(*serials.begin()) + " is in force at the end");
   if (end.done == 0) fault("no traffic was seen");
--- a/src/kin/roll/roll.cc
+++ b/src/kin/roll/roll.cc
@@ -51,7 +51,10 @@
   if (rank(item) <= rank(peer.member)) return News::none;
   State const old = peer.state();
   if (item.incarnation > peer.member.incarnation) peer.refused = false;
-  if (item.address != peer.member.address) peer.next_dial = 0;
+  if (item.address != peer.member.address) {
+    peer.next_dial = 0;
+    peer.dialling = false;  // what is under way goes to the old address, and its end will not be known for this peer's
+  }
   peer.member = item;
   if (peer.state() != old) {
     peer.since = now;
--- a/tests/mesh.cc
+++ b/tests/mesh.cc
@@ -73,6 +73,31 @@
   EXPECT_EQ(out.mesh.shuts, std::vector<WireId>{1});
 }
 
+TEST(Mesh, a_peer_that_moves_while_it_is_dialled_is_dialled_anew) {
+  hush(true);
+  Node node(plan(), 0, std::nullopt);
+  NodeOut out;
+  node.opened(1, false, "", 0, out);
+  node.bytes(1, encode(hello("pipit", "b")), 0, out);
+  node.shut(1, millis(10), out);
+  out = NodeOut();
+  node.tick(millis(20), out);
+  wire::HelloT moved = hello("pipit", "b");
+  moved.self->address = "10.0.0.9:1";
+  moved.self->incarnation = 6;
+  wire::NewsT news;  // another peer tells where it is now, while the dial to the old place goes on
+  news.table.push_back(std::make_unique<wire::MemberT>(*moved.self));
+  wire::HelloT third = hello("pipit", "c");
+  third.self->address = "10.0.0.3:1";
+  node.opened(2, false, "", millis(30), out);
+  node.bytes(2, encode(std::move(third)), millis(30), out);
+  node.bytes(2, encode(std::move(news)), millis(40), out);
+  node.dial_failed("10.0.0.2:1", false, millis(900), out);
+  out = NodeOut();
+  node.tick(millis(1500), out);
+  EXPECT_NE(std::find(out.mesh.dials.begin(), out.mesh.dials.end(), "10.0.0.9:1"), out.mesh.dials.end());
+}
+
 TEST(Roll, a_node_contradicts_news_of_its_end) {
   hush(true);
   wire::MemberT self;
