--- a/proof/scene/main.cc
+++ b/proof/scene/main.cc
@@ -41,6 +41,7 @@
   double rate = 90;
   double hot = 0;
   int slots = 60;
+  bool probe = false;
   std::uint64_t seed = 1;
 };
 
@@ -82,6 +83,7 @@
     settled.insert(accepted.begin()->first);
     // Workers that have just woken are cold; what is measured begins when they are warm.
     until(seconds(8), [this] { return now() - launched > seconds(6); });
+    if (plan.probe) probe();
     perform();
     return finish();
   }
@@ -605,6 +607,58 @@
     if (got[0].status != 200 && got[1].status != 200) resync();
   }
 
+  // Bad input of every kind, and workers that answer oddly: each has its honest answer, and no bad input reaches a worker.
+  void probe() {
+    std::string const http = actors["p2"].address + ":7080";
+    std::string const tag = "probe-bad";
+    auto const expect = [this](std::string const& what, Got const& got, unsigned status, std::string const& words) {
+      ++probes;
+      if (got.status != status || got.body.find(words) == std::string::npos) fault("probe", what + " was answered " + std::to_string(got.status) + " " + got.body.substr(0, 200));
+    };
+    std::string const path = "/v1/chat/completions";
+    std::string const turns = "\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]";
+    expect("broken JSON", fetch("POST", http, path, "{\"model\":", ""), 400, "bad_json");
+    expect("no object", fetch("POST", http, path, "[]", ""), 400, "bad_request");
+    expect("no model", fetch("POST", http, path, "{" + turns + "}", ""), 400, "$.model");
+    expect("no messages", fetch("POST", http, path, "{\"model\":\"tribute\"}", ""), 400, "$.messages");
+    expect("odd stream", fetch("POST", http, path, "{\"model\":\"tribute\",\"stream\":3," + turns + "}", ""), 400, "$.stream");
+    expect("unknown model", fetch("POST", http, path, "{\"model\":\"none\",\"user\":\"" + tag + "\"," + turns + "}", ""), 404, "unknown_model");
+    expect("no lane", fetch("POST", http, path, "{\"model\":\"tribute\",\"user\":\"" + tag + "\"," + turns + "}", ""), 404, "unknown_lane");
+    expect("too large", fetch("POST", http, path, std::string(5u << 20, 'x'), ""), 413, "too_large");
+    expect("a read", fetch("GET", http, path, "", ""), 405, "bad_method");
+    expect("a keeper", fetch("POST", actors["k1"].address + ":7080", path, "{}", ""), 404, "not_found");
+    expect("no path", fetch("GET", http, "/nowhere", "", ""), 404, "not_found");
+    std::string const text = description_of(shape, 1);
+    expect("no serial", fetch("PUT", http, "/v1/description", text, ""), 400, "If-Match");
+    expect("an old serial", fetch("PUT", http, "/v1/description", text, "0"), 409, "the present serial is 1");
+    expect("broken text", fetch("PUT", http, "/v1/description", "{\"format\":1,\n\"pools\":[}", "1"), 400, "line 2, column 10");
+    expect("a dangling name", fetch("PUT", http, "/v1/description", "{\"format\":1,\"pools\":[],\"lanes\":[{\"name\":\"l\",\"binding\":\"match always; pool q\"}]}", "1"), 400, "$.lanes[0].binding");
+    expect("a large text", fetch("PUT", http, "/v1/description", std::string((2u << 20) + 100, ' '), "1"), 413, "too_large");
+    expect("an unknown zone", fetch("POST", http, "/v1/zones/moon/empty", "", ""), 404, "unknown_zone");
+    expect("an unknown change", fetch("GET", http, "/v1/changes/none", "", ""), 404, "unknown_change");
+    struct Odd {
+      char const* kind;
+      bool stream;
+      unsigned status;
+      char const* words;
+    };
+    Odd const odds[] = {
+        {"type", false, 502, "worker_wrong"}, {"type", true, 502, "worker_wrong"}, {"torn", false, 502, "\"ran\":\"yes\""}, {"torn", true, 200, "answer_torn"},
+        {"noend", true, 200, "answer_torn"}, {"otherid", false, 502, "worker_wrong"}, {"otherid", true, 502, "worker_wrong"}, {"redirect", false, 502, "worker_wrong"},
+        {"429", false, 503, "\"ran\":\"no\""}, {"503after", true, 503, "\"ran\":\"no\""}, {"503", false, 502, "\"ran\":\"unknown\""}, {"500", true, 502, "\"ran\":\"unknown\""}};
+    for (Odd const& odd : odds) {
+      for (std::pair<std::string const, Row> const& row : rows) fetch("GET", row.second.address, std::string("/odd?times=1&kind=") + odd.kind, "", "");
+      std::string const lane = shape.kinds[odd.stream ? 0 : 1].lane;
+      Got const got = fetch("POST", http, path, "{\"model\":\"tribute\",\"user\":\"" + lane + "-odd\",\"max_tokens\":4,\"stream\":" + (odd.stream ? "true" : "false") + "," + turns + "}", "");
+      // A broken stream begins with 200 and ends in an error event; that its body was cut is the callers' to judge.
+      expect(std::string("odd ") + odd.kind, got, odd.status, odd.words);
+    }
+    for (std::pair<std::string const, Row> const& row : rows) fetch("GET", row.second.address, "/odd?times=0&kind=", "", "");
+    for (BookLine const& line : read_books(plan.folder + "/books"))
+      if (line.tag.rfind(tag, 0) == 0) fault("probe", "bad input reached " + line.worker);
+    std::printf("%d probes were answered\n", probes);
+  }
+
   void write_doors() {
     std::ofstream file(plan.folder + "/doors.new");
     for (std::pair<std::string const, Actor> const& item : actors) {
@@ -778,6 +832,7 @@
   int moved = 0;
   int turn = 1;
   int races = 0;
+  int probes = 0;
   bool ran_out = false;
   std::uint64_t expected = 0;
   std::uint64_t serial_yes = 0;
@@ -799,7 +854,7 @@
   options::options_description flags("scene: runs a whole fleet on this machine, breaks it, and judges it");
   flags.add_options()("shape", options::value(&plan.shape), "coop or utility")("schedule", options::value(&plan.schedule), "a schedule's name")(
       "steps", options::value(&plan.steps), "steps of your own instead, such as \"2 kill p1; 5 start p1\"")("seconds", options::value(&plan.seconds), "for how long callers ask")(
-      "rate", options::value(&plan.rate), "requests a second")("hot", options::value(&plan.hot), "the share of one hot opening")("slots", options::value(&plan.slots), "requests that a worker runs at once")("seed", options::value(&plan.seed))(
+      "rate", options::value(&plan.rate), "requests a second")("hot", options::value(&plan.hot), "the share of one hot opening")("slots", options::value(&plan.slots), "requests that a worker runs at once")("seed", options::value(&plan.seed))("probe", options::bool_switch(&plan.probe), "first try bad input and odd workers")(
       "folder", options::value(&plan.folder), "where data, logs and books go")("net", options::value(&plan.net), "the second number of the loopback addresses, 2 to 250")("help", "");
   try {
     options::variables_map map;
