Refuse at the door what fits only half by luck: late refusals become early ones

Cause of late refusals when slots are short: a request was taken in when the mean wait just fitted its lane's, and then turned away as more urgent ones came. Ruled out: the backlog's order and its bound.

--- a/src/flow/errand/desk.cc
+++ b/src/flow/errand/desk.cc
@@ -81,7 +81,9 @@
   Choice choice = held ? Choice{Say::wait, nullptr, 0, 0, Kind::not_ready} : select(errand, ahead, now);
   if (choice.say == Say::go && ahead == 0) return go(errand, choice, now, out);
   if (choice.say == Say::never) return give_up(errand, Fault{choice.kind, "", ""}, choice.wait, out);
-  if (choice.say == Say::wait && now + choice.wait > errand.due)
+  // §6.5: taken in only when the prediction fits half the wait. The mean says nothing of those more urgent who come
+  // later; without this margin they turn a waiting request into a late refusal.
+  if (choice.say == Say::wait && choice.wait > errand.lane->policy.wait / 2)
     return give_up(errand, Fault{Kind::crowded, "", ""}, std::clamp<Micros>(choice.wait, millis(500), seconds(10)), out);
   std::int64_t& count = lane_waiting[errand.lane->name];
   if (count >= errand.lane->policy.backlog) return give_up(errand, Fault{Kind::backlog_full, "", ""}, std::clamp<Micros>(choice.wait, millis(500), seconds(10)), out);
