--- a/proof/scene/main.cc
+++ b/proof/scene/main.cc
@@ -53,6 +53,7 @@
   pid_t pid = 0;
   bool frozen = false;
   bool cut = false;
+  int code = -1;  // as it ended
   Micros off_until = 0;  // bounds on changes do not hold before it was heard again
   std::uint64_t serial = 0;
   std::uint64_t first_sends = 0, resends = 0, asked = 0, hit = 0, far = 0;  // of lives that ended
@@ -176,9 +177,12 @@
     actor.off_until = now() + seconds(3);
     g_child_watch_add(
         pid,
-        [](GPid done, gint, gpointer self) {
+        [](GPid done, gint status, gpointer self) {
           for (std::pair<std::string const, Actor>& item : static_cast<Scene*>(self)->actors)
-            if (item.second.pid == done) item.second.pid = 0;
+            if (item.second.pid == done) {
+              item.second.pid = 0;
+              item.second.code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+            }
         },
         this);
   }
@@ -520,6 +524,17 @@
     if (verb == "apply") {
       if (!apply(door(), ++turn)) resync();
     }
+    if (verb == "drill" || verb == "tooth" || verb == "broken") {
+      std::string const name = "ordeal" + std::to_string(++drills);
+      actors[name].name = name;
+      actors[name].args = {"ordeal", "--node", actors[door()].address + ":7080", "--zone", a, "--hold", "8", "--most", verb == "tooth" ? "0.001" : "0.8"};
+      wanted[name] = verb == "drill" ? 0 : verb == "tooth" ? 4 : 3;
+      start(actors[name]);
+      if (verb == "broken") {
+        until(seconds(2), [this, begun = now()] { return now() - begun > seconds(1); });
+        ::kill(actors[name].pid, SIGTERM);
+      }
+    }
     if (verb == "race") race();
     if (verb == "storm")
       for (int i = 0; i < std::atoi(a.c_str()); ++i) apply(door(), ++turn);
@@ -781,6 +796,8 @@
       far += actor.far;
     }
     if (static_cast<double>(again) > 0.2 * static_cast<double>(first) + 3.0 * shape.passages) fault("N10", std::to_string(again) + " re-sends for " + std::to_string(first) + " sends");
+    for (std::pair<std::string const, int> const& item : wanted)
+      if (actors[item.first].pid != 0 || actors[item.first].code != item.second) fault("ordeal", item.first + " ended with " + std::to_string(actors[item.first].code) + " for " + std::to_string(item.second));
     bool const full = lost_back > 0;
     if (full && (first_back < 0 || first_back - lost_back > seconds(12))) fault("N12", "service was not back in time");
     std::ifstream report(plan.folder + "/chorus.json");
@@ -832,6 +849,8 @@
   int moved = 0;
   int turn = 1;
   int races = 0;
+  int drills = 0;
+  std::map<std::string, int> wanted;  // exit codes that drills must have
   int probes = 0;
   bool ran_out = false;
   std::uint64_t expected = 0;
--- a/proof/scene/steps.h
+++ b/proof/scene/steps.h
@@ -23,6 +23,9 @@
   STEP(exchange, "p", "end an entry node, and start another one")          \
   STEP(empty, "z", "empty a zone")                                         \
   STEP(refill, "z", "refill a zone")                                       \
+  STEP(drill, "z", "run ordeal on a zone; it must pass")                   \
+  STEP(tooth, "z", "run ordeal where the rest cannot carry; it must refuse") \
+  STEP(broken, "z", "interrupt ordeal; it must put the zone back")         \
   STEP(apply, "", "apply a new description")                               \
   STEP(race, "", "apply two rival descriptions at once")                   \
   STEP(storm, "#", "apply that many descriptions, one upon another")       \
--- a/src/flow/errand/desk.cc
+++ b/src/flow/errand/desk.cc
@@ -190,6 +190,7 @@
   }
   if (worker.row.zone != zone) ++tally.far_sends;
   worker.legs.insert(now);
+  ++worker.sent;
   if (fleet.cold_for(worker, pool.cold_span, now) > 0) worker.sends.push_back(now);
   Index::Bounds const bounds{static_cast<std::size_t>(pool.cache_blocks), pool.cache_age};
   tide.queue(errand.model, tide.index(errand.model).touch(errand.ask.path, worker.row.id, worker.row.incarnation, bounds, now));
--- a/src/flow/fleet/fleet.h
+++ b/src/flow/fleet/fleet.h
@@ -48,6 +48,7 @@
   std::multiset<Micros> legs; // this node's running legs, by their start
   std::deque<Micros> sends;   // this node's sends while it was cold
   std::int64_t own_since() const { return static_cast<std::int64_t>(std::distance(legs.lower_bound(reported), legs.end())); }
+  std::uint64_t sent = 0;     // legs that this node ever began there
   std::int64_t others = 0;    // legs of peers, as they told last
   bool exact = false;         // every peer that may send has told lately
   // §6.4: what all nodes told counts, when all told; else the late report counts too.
--- a/src/hull/host.cc
+++ b/src/hull/host.cc
@@ -403,6 +403,9 @@
     jot.open().key("id").text(item.first).key("zone").text(worker.row.zone).key("pool").text(worker.row.pool);
     jot.key("standing").text(words[static_cast<std::size_t>(worker.standing)]).key("dark").truth(worker.dark);
     jot.key("incarnation").number(static_cast<std::int64_t>(worker.row.incarnation));
+    Pool const* const pool = node->desk.creed()->pool(worker.row.pool);
+    std::int64_t const slots = worker.row.slots > 0 ? worker.row.slots : pool != nullptr ? pool->slots : 0;
+    jot.key("slots").number(slots).key("sent").number(static_cast<std::int64_t>(worker.sent));
     jot.key("demand").number(worker.guess()).shut();
   }
   jot.unlist().key("backlog").number(static_cast<std::int64_t>(node->desk.waiting()));
--- /dev/null
+++ b/src/hull/http/talk.cc
@@ -0,0 +1,52 @@
+#include "hull/http/talk.h"
+
+#include <libsoup/soup.h>
+
+namespace pipit {
+
+Got talk(char const* method, std::string const& address, std::string const& path, std::string const* body, std::string const& expected) {
+  Got out;
+  SoupSession* const session = soup_session_new_with_options("timeout", 10, "proxy-resolver", nullptr, nullptr);
+  SoupMessage* const message = soup_message_new(method, ("http://" + address + path).c_str());
+  soup_message_set_flags(message, static_cast<SoupMessageFlags>(SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_NEW_CONNECTION));
+  if (!expected.empty()) soup_message_headers_replace(soup_message_get_request_headers(message), "If-Match", expected.c_str());
+  if (body != nullptr) {
+    GBytes* const bytes = g_bytes_new(body->data(), body->size());
+    soup_message_set_request_body_from_bytes(message, "application/json", bytes);
+    g_bytes_unref(bytes);
+  }
+  GError* error = nullptr;
+  GBytes* const bytes = soup_session_send_and_read(session, message, nullptr, &error);
+  if (bytes != nullptr) {
+    gsize size = 0;
+    char const* const raw = static_cast<char const*>(g_bytes_get_data(bytes, &size));
+    if (raw != nullptr) out.body.assign(raw, size);
+    g_bytes_unref(bytes);
+    out.status = soup_message_get_status(message);
+    SoupMessageHeaders* const head = soup_message_get_response_headers(message);
+    struct Row {
+      char const* name;
+      std::string& slot;
+    };
+    for (Row const& row : {Row{"X-Pipit-Serial", out.serial}, Row{"X-Pipit-Emptied", out.emptied}, Row{"X-Pipit-Change", out.change}})
+      if (char const* const value = soup_message_headers_get_one(head, row.name)) row.slot = value;
+  } else {
+    out.why = error->message;
+    g_error_free(error);
+  }
+  g_object_unref(message);
+  g_object_unref(session);
+  return out;
+}
+
+int code_of(Got const& got) {
+  if (got.status == 0) return 4;
+  if (got.status == 200) return 0;
+  if (got.status == 202) return 5;
+  if (got.status == 504) return 3;
+  if (got.status == 503) return 4;
+  if (got.status == 400 || got.status == 413) return 2;
+  return 1;
+}
+
+}  // namespace pipit
