--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -306,6 +306,7 @@
   fleet.vitals(check.worker, check.life, check.asked, report, refused, now);
   take_fresh(now);
   desk.work(now, out.desk);
+  check_asked(now, out);
 }
 
 void Node::own_entries(Micros now, NodeOut& out) {
@@ -588,6 +589,7 @@
     }
     desk.ready(able && !isolated);
     desk.work(now, out.desk);
+    check_asked(now, out);
   } else {
     look_ready(now, out);
   }
@@ -600,6 +602,7 @@
   watch_clock(now);
   ask.facts.zone = plan.zone;
   desk.fresh(id, std::move(ask), now, out.desk);
+  check_asked(now, out);
 }
 
 // Peers hear how many legs this node has at each worker, soon when that changed, and now and then when not.
@@ -623,6 +626,17 @@
   out.checks.push_back(Check{id, worker->row.address, worker->row.incarnation, now});
 }
 
+// Placing waits for a worker's word: it is asked once, and again when that was lost.
+void Node::check_asked(Micros now, NodeOut& out) {
+  for (std::string const& id : out.desk.asks) {
+    Worker* const worker = fleet.find(id);
+    if (worker == nullptr || worker->asked >= 0) continue;
+    worker->asked = now;
+    check_now(id, now, out);
+  }
+  out.desk.asks.clear();
+}
+
 void Node::leg_ended(std::uint64_t id, LegEnd end, std::string const& why, Micros back, Micros now, NodeOut& out) {
   watch_clock(now);
   desk.ended(id, end, why, back, now, out.desk);
@@ -637,6 +651,7 @@
   }
   out.desk.doubts.clear();
   desk.work(now, out.desk);
+  check_asked(now, out);
 }
 
 void Node::hung_up(std::uint64_t id, Micros now, NodeOut& out) {
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -118,6 +118,7 @@
   void take_fresh(Micros now);
   void tell_loads(Micros now, std::vector<Letter>& letters);
   void check_now(std::string const& id, Micros now, NodeOut& out);
+  void check_asked(Micros now, NodeOut& out);
   std::vector<std::string> keepers() const;
   std::vector<std::string> tide_peers() const;
   std::set<std::string> passages(bool all) const;
--- a/src/flow/errand/desk.cc
+++ b/src/flow/errand/desk.cc
@@ -78,8 +78,9 @@
     if (!(other < errand)) break;
     ++ahead;
   }
-  Choice choice = held ? Choice{Say::wait, nullptr, 0, 0, Kind::not_ready} : select(errand, ahead, now);
+  Choice choice = held ? Choice{Say::wait, nullptr, 0, 0, Kind::not_ready, ""} : select(errand, ahead, now);
   if (choice.say == Say::go && ahead == 0) return go(errand, choice, now, out);
+  if (!choice.ask.empty()) out.asks.push_back(choice.ask);
   if (choice.say == Say::never) return give_up(errand, Fault{choice.kind, "", ""}, choice.wait, out);
   // §6.5: taken in only when the prediction fits half the wait. The mean says nothing of those more urgent who come
   // later; without this margin they turn a waiting request into a late refusal.
@@ -93,7 +94,7 @@
   if (choice.say == Say::go) work(now, out);
 }
 
-Desk::Choice Desk::select(Errand const& errand, std::size_t ahead, Micros now) {
+Desk::Choice Desk::select(Errand const& errand, std::size_t ahead, Micros now, bool sure_only) {
   Choice best;
   Micros least = 0;
   Micros soonest = -1;
@@ -130,6 +131,12 @@
         if (cold_ends < 0 || cold < cold_ends) cold_ends = cold;
         continue;
       }
+      // §6.6: a worker that does not answer in time is passed over while others can be had.
+      bool const unsure = guard(Guard::cold_share) && fleet.unsure(*worker, fleet.cold_share(*worker, pool->cold, self, names));
+      if (unsure && (sure_only || (worker->asked >= 0 && now - worker->asked > millis(100)))) {
+        if (soonest < 0 || soonest > millis(50)) soonest = millis(50);
+        continue;
+      }
       std::map<std::string, std::size_t>::const_iterator const hit = hits.find(worker->row.id);
       std::size_t const have = hit == hits.end() ? 0 : hit->second;
       // §6.4: what is missing of the prefix, what runs already, and the way there.
@@ -139,12 +146,13 @@
       if (best.worker == nullptr || cost < least) {
         best.worker = worker;
         best.hit = have;
+        best.ask = unsure ? worker->row.id : "";
         least = cost;
       }
     }
     if (best.worker != nullptr) {
-      best.say = Say::go;
-      best.wait = least;
+      best.say = best.ask.empty() ? Say::go : Say::wait;
+      best.wait = best.ask.empty() ? least : millis(30);
       return best;
     }
   }
@@ -191,7 +199,8 @@
   if (worker.row.zone != zone) ++tally.far_sends;
   worker.legs.insert(now);
   ++worker.sent;
-  if (fleet.cold_for(worker, pool.cold_span, now) > 0) worker.sends.push_back(now);
+  while (!worker.sends.empty() && now - worker.sends.front() >= Fleet::cold_window) worker.sends.pop_front();
+  worker.sends.push_back(now);
   Index::Bounds const bounds{static_cast<std::size_t>(pool.cache_blocks), pool.cache_age};
   tide.queue(errand.model, tide.index(errand.model).touch(errand.ask.path, worker.row.id, worker.row.incarnation, bounds, now));
   out.starts.push_back(Start{errand.id, errand.legs, worker.row.id, worker.row.address, errand.lane->policy.answer, errand.lane->policy.stall});
@@ -261,7 +270,7 @@
   bool const may_repeat = errand.safe || !errand.left || !guard(Guard::never_repeat);
   bool const again = !errand.begun && may_repeat && !draining && errand.legs < errand.lane->policy.tries && now < errand.due + errand.lane->policy.answer && (bucket >= 1.0 || !guard(Guard::bucket));
   if (again) {
-    Choice const choice = select(errand, 0, now);
+    Choice const choice = select(errand, 0, now, true);
     if (choice.say == Say::go) return go(errand, choice, now, out);
   }
   if (errand.begun) ++tally.broken;
@@ -304,6 +313,7 @@
       go(errand, choice, now, out);
       continue;
     }
+    if (!choice.ask.empty()) out.asks.push_back(choice.ask);
     ++idle;
     ++ahead;
     // §6.5: what has become hopeless is answered now, not when its time is up.
--- a/src/flow/errand/desk.h
+++ b/src/flow/errand/desk.h
@@ -51,6 +51,7 @@
   std::vector<Start> starts;
   std::vector<Verdict> ends;
   std::vector<std::pair<std::string, std::uint64_t>> doubts;  // workers, with their life, whose wires broke
+  std::vector<std::string> asks;     // workers that must answer before they are sent more
   std::vector<std::uint64_t> drops;  // legs to cut because their caller has gone
 };
 
@@ -118,8 +119,9 @@
     std::size_t hit = 0;
     Micros wait = 0;
     Kind kind = Kind::no_worker;
+    std::string ask;  // the worker that is waited for
   };
-  Choice select(Errand const& errand, std::size_t ahead, Micros now);
+  Choice select(Errand const& errand, std::size_t ahead, Micros now, bool sure_only = false);
   void go(Errand& errand, Choice const& choice, Micros now, DeskOut& out);
   void give_up(Errand& errand, Fault fault, Micros wait, DeskOut& out);
   void erase(Errand& errand);
--- a/src/flow/fleet/fleet.cc
+++ b/src/flow/fleet/fleet.cc
@@ -178,6 +178,7 @@
   if (worker == nullptr || life != worker->row.incarnation) return;
   if (!report) {
     ++worker->misses;
+    worker->asked = -1;
     if (!worker->dark && (refused || worker->misses >= 2)) {
       worker->dark = true;
       tell(Event::worker_dark, id);
@@ -189,6 +190,8 @@
   if (report->incarnation > worker->row.incarnation) begin_life(*worker, report->incarnation);
   worker->demand = report->demand;
   worker->reported = now;
+  worker->confirmed = std::max(worker->confirmed, asked);
+  worker->asked = -1;
   // Only what was asked after the doubt answers it.
   if (asked >= worker->doubted_at) worker->doubted = false;
   // A worker that says it woke later than it said before has lost what it kept, whatever its incarnation.
@@ -213,6 +216,13 @@
   return static_cast<std::int64_t>(rendezvous_rank(worker.row.id, self, names)) < bound ? 1 : 0;
 }
 
+bool Fleet::unsure(Worker const& worker, std::int64_t share) const {
+  std::int64_t n = 0;
+  for (Micros const at : worker.sends)
+    if (at >= worker.confirmed) ++n;
+  return n >= std::max<std::int64_t>(1, share);
+}
+
 bool Fleet::cold_room(Worker& worker, std::int64_t bound, std::string const& self, std::set<std::string> const& names,
                       Micros now) const {
   while (!worker.sends.empty() && now - worker.sends.front() >= cold_window) worker.sends.pop_front();
--- a/src/flow/fleet/fleet.h
+++ b/src/flow/fleet/fleet.h
@@ -46,7 +46,9 @@
   Micros reported = 0;
   Micros woke = -1;           // when it woke or came back from the dark; -1: not known, so cold
   std::multiset<Micros> legs; // this node's running legs, by their start
-  std::deque<Micros> sends;   // this node's sends while it was cold
+  std::deque<Micros> sends;   // this node's sends within the last window
+  Micros confirmed = -1;      // when the last question was asked that this life answered
+  Micros asked = -1;          // since when an answer is awaited before more is sent
   std::int64_t own_since() const { return static_cast<std::int64_t>(std::distance(legs.lower_bound(reported), legs.end())); }
   std::uint64_t sent = 0;     // legs that this node ever began there
   std::int64_t others = 0;    // legs of peers, as they told last
@@ -89,6 +91,8 @@
   Micros cold_for(Worker const& worker, Micros span, Micros now) const { return worker.woke < 0 ? span : std::max<Micros>(0, worker.woke + span - now); }
   // Whether this node may send to a cold worker now; 'names' are all nodes known that may send.
   bool cold_room(Worker& worker, std::int64_t bound, std::string const& self, std::set<std::string> const& names, Micros now) const;
+  // Whether this node has sent its share since the worker last answered: it may have ended and come back since.
+  bool unsure(Worker const& worker, std::int64_t share) const;
   // How many sends this node has to a cold worker in one window.
   std::int64_t cold_share(Worker const& worker, std::int64_t bound, std::string const& self, std::set<std::string> const& names) const;
   static constexpr Micros cold_window = millis(1250);  // a second, and a little for what the way adds or takes
