One encoder of frames, one reading of entry keys, one rule for a worker's slots

Node::dispatch packed frames itself beside encode(); three places cut entry keys at '!'; three chose between a worker's slots and its pool's. Also gone: a name the learner never used and a verifier that nothing asked.

--- a/src/canon/register/learner.h
+++ b/src/canon/register/learner.h
@@ -11,8 +11,6 @@
 
 class Learner {
  public:
-  explicit Learner(std::string self_) : self(std::move(self_)) {}
-
   // Takes a value that is known to be chosen; true when it is newer than what is held.
   bool adopt(wire::ValueT const& value, Micros now);
   // Polls: one majority read without repair, of marks only. 'keepers' are all nodes that may keep.
@@ -44,7 +42,6 @@
     std::uint64_t serial = 0;
     std::string change;
   };
-  std::string const self;
   Ring set;
   std::uint64_t req = 0;
   Micros asked = 0;
--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -42,7 +42,6 @@
     : plan(std::move(plan_)),
       mesh(mesh_of(plan), self_of(plan), plan.chance),
       proposer(plan.name, plan.chance ^ plan.incarnation),
-      learner(plan.name),
       tide(plan.chance + 1),
       desk(plan.name, plan.zone, tide, fleet),
       granter(now),
@@ -112,10 +111,9 @@
       if (peer == mesh.roll.peers.end() || peer->second.wire == 0) continue;
       wire::FrameT frame;
       frame.body = std::move(item.body);
-      flatbuffers::FlatBufferBuilder space(512);
-      space.FinishSizePrefixed(wire::Frame::Pack(space, &frame));
-      if (space.GetSize() > frame_limit) continue;
-      out.mesh.sends.push_back({peer->second.wire, std::string(reinterpret_cast<char const*>(space.GetBufferPointer()), space.GetSize())});
+      std::string bytes = encode(frame);
+      if (bytes.size() > frame_limit) continue;
+      out.mesh.sends.push_back({peer->second.wire, std::move(bytes)});
     }
   }
 }
@@ -197,7 +195,7 @@
   news.req = req;
   news.value = std::make_unique<wire::ValueT>(value);
   if (!guard(Guard::spread)) return;
-  std::string const bytes = encode(std::move(news));
+  std::string const bytes = encode_body(std::move(news));
   for (std::pair<std::string const, Peer> const& item : mesh.roll.peers)
     if (item.second.wire != 0) out.mesh.sends.push_back({item.second.wire, bytes});
 }
--- a/src/flow/errand/desk.cc
+++ b/src/flow/errand/desk.cc
@@ -110,14 +110,14 @@
       Worker& worker = item.second;
       if (worker.row.pool != pool->name || !worker.takes() || (guard(Guard::zone_veto) && shut.count(worker.row.zone))) continue;
       if (errand.lane->policy.locality == Locality::only && worker.row.zone != zone) continue;
-      slots += worker.row.slots > 0 ? worker.row.slots : pool->slots;
+      slots += worker.room(*pool);
       busy += worker.guess();
       if (!errand.tried.count(item.first)) field.push_back(&worker);
     }
     if (slots == 0 || !way.when.holds(errand.ask.facts, busy * 100 / slots)) continue;
     Micros const hold = service(*pool);
     for (Worker* const worker : field) {
-      std::int64_t const room = worker->row.slots > 0 ? worker->row.slots : pool->slots;
+      std::int64_t const room = worker->room(*pool);
       std::int64_t const load = worker->guess();
       if (load >= room) {
         std::int64_t const nodes = static_cast<std::int64_t>(std::max<std::size_t>(1, names.size()));
--- a/src/flow/fleet/fleet.cc
+++ b/src/flow/fleet/fleet.cc
@@ -132,9 +132,8 @@
 
 void Fleet::take_entry(wire::EntryT const& entry, Micros now) {
   // "w2!p3" is what p3 says of w2 besides its owner: only an end counts (§4.3).
-  std::size_t const mark = entry.key.find('!');
-  std::string const id = entry.key.substr(0, mark);
-  if (id.empty() || (mark != std::string::npos && entry.state == static_cast<std::uint8_t>(Standing::serving))) return;
+  std::string const id = worker_of(entry.key);
+  if (id.empty() || (beside_owner(entry.key) && entry.state == static_cast<std::uint8_t>(Standing::serving))) return;
   Worker& worker = workers[id];
   Standing const said = static_cast<Standing>(entry.state);
   bool const first = worker.row.id.empty();
@@ -167,7 +166,7 @@
 
 void Fleet::reconcile(std::map<std::string, wire::EntryT> const& entries, Micros now) {
   for (std::pair<std::string const, wire::EntryT> const& item : entries) {
-    Worker const* const worker = find(item.first.substr(0, item.first.find('!')));
+    Worker const* const worker = find(worker_of(item.first));
     if (worker != nullptr && worker->buried >= item.second.incarnation) continue;
     take_entry(item.second, now);
   }
--- a/src/flow/fleet/fleet.h
+++ b/src/flow/fleet/fleet.h
@@ -58,6 +58,7 @@
     std::int64_t const told = others + static_cast<std::int64_t>(legs.size());
     return exact ? told : std::max<std::int64_t>(demand + own_since(), told);
   }
+  std::int64_t room(Pool const& pool) const { return row.slots > 0 ? row.slots : pool.slots; }
   bool takes() const { return standing == Standing::serving && !dark && !doubted; }
 };
 
--- a/src/hull/host.cc
+++ b/src/hull/host.cc
@@ -146,7 +146,6 @@
 bool Host::dropped_out(WireId id, std::string const& frame) {
   std::map<WireId, std::string>::const_iterator const spot = wire_names.find(id);
   if (spot != wire_names.end() && fires_for(Point::cut_out, spot->second)) return true;
-  flatbuffers::Verifier check(reinterpret_cast<std::uint8_t const*>(frame.data()), frame.size());
   wire::Frame const* const seen = flatbuffers::GetSizePrefixedRoot<wire::Frame>(frame.data());
   switch (seen->body_type()) {
     case wire::Body::Chosen: return fires(Point::spread_lost);
@@ -404,7 +403,7 @@
     jot.key("standing").text(words[static_cast<std::size_t>(worker.standing)]).key("dark").truth(worker.dark);
     jot.key("incarnation").number(static_cast<std::int64_t>(worker.row.incarnation));
     Pool const* const pool = node->desk.creed()->pool(worker.row.pool);
-    std::int64_t const slots = worker.row.slots > 0 ? worker.row.slots : pool != nullptr ? pool->slots : 0;
+    std::int64_t const slots = pool != nullptr ? worker.room(*pool) : worker.row.slots;
     jot.key("slots").number(slots).key("sent").number(static_cast<std::int64_t>(worker.sent));
     jot.key("demand").number(worker.guess()).shut();
   }
--- a/src/kin/frame.cc
+++ b/src/kin/frame.cc
@@ -2,6 +2,12 @@
 
 namespace pipit {
 
+std::string encode(wire::FrameT const& frame) {
+  flatbuffers::FlatBufferBuilder space(512);
+  space.FinishSizePrefixed(wire::Frame::Pack(space, &frame));
+  return std::string(reinterpret_cast<char const*>(space.GetBufferPointer()), space.GetSize());
+}
+
 std::size_t announced(std::string_view head) {
   if (head.size() < 4) return 0;
   std::size_t size = 0;
--- a/src/kin/frame.h
+++ b/src/kin/frame.h
@@ -12,13 +12,12 @@
 constexpr std::size_t frame_limit = 8u << 20;
 
 // A frame as it crosses a wire: four bytes of length, little end first, then the FlatBuffers body.
+std::string encode(wire::FrameT const& frame);
 template <class T>
-std::string encode(T&& body) {
+std::string encode_body(T&& body) {
   wire::FrameT frame;
   frame.body.Set(std::forward<T>(body));
-  flatbuffers::FlatBufferBuilder space(512);
-  space.FinishSizePrefixed(wire::Frame::Pack(space, &frame));
-  return std::string(reinterpret_cast<char const*>(space.GetBufferPointer()), space.GetSize());
+  return encode(frame);
 }
 
 // The length that the first four bytes announce, or 0 when it is not to be believed.
--- a/src/kin/ledger/ledger.cc
+++ b/src/kin/ledger/ledger.cc
@@ -12,7 +12,7 @@
 }
 // What is forgotten after a while: workers that are gone, and marks that nodes set besides an owner.
 bool passing(wire::EntryT const& item) {
-  return item.state == static_cast<std::uint8_t>(Standing::gone) || item.key.find('!') != std::string::npos;
+  return item.state == static_cast<std::uint8_t>(Standing::gone) || beside_owner(item.key);
 }
 }  // namespace
 
--- a/src/kin/ledger/ledger.h
+++ b/src/kin/ledger/ledger.h
@@ -11,6 +11,10 @@
 
 enum class Standing : std::uint8_t { serving, leaving, gone };
 
+// An entry's key is its worker, or "worker!node" for what a node says besides the owner (§4.3).
+inline bool beside_owner(std::string const& key) { return key.find('!') != std::string::npos; }
+inline std::string worker_of(std::string const& key) { return key.substr(0, key.find('!')); }
+
 class Ledger {
  public:
   explicit Ledger(std::string self_) : self(std::move(self_)) {}
--- a/src/kin/mesh.cc
+++ b/src/kin/mesh.cc
@@ -54,7 +54,7 @@
   wire::HelloT hello;
   hello.cluster = plan.cluster;
   hello.self = std::make_unique<wire::MemberT>(roll.self);
-  out.sends.push_back({id, encode(std::move(hello))});
+  out.sends.push_back({id, encode_body(std::move(hello))});
 }
 
 void Mesh::unbind(WireId id, Micros now) {
@@ -344,7 +344,7 @@
       wire::PongT pong;
       pong.seq = ping.seq;
       pong.table = roll.table();
-      out.sends.push_back({id, encode(std::move(pong))});
+      out.sends.push_back({id, encode_body(std::move(pong))});
       return "";
     }
     case wire::Body::Pong: {
@@ -357,7 +357,7 @@
         res.seq = relay->second.seq;
         res.target = name;
         res.ok = true;
-        if (wires.count(relay->second.asker)) out.sends.push_back({relay->second.asker, encode(std::move(res))});
+        if (wires.count(relay->second.asker)) out.sends.push_back({relay->second.asker, encode_body(std::move(res))});
         relays.erase(relay);
       }
       return "";
@@ -383,7 +383,7 @@
         if (ledger.merge(name, *item, now)) fresh.push_back(item->key);
       wire::EntriesAckT ack;
       ack.batch = list.batch;
-      out.sends.push_back({id, encode(std::move(ack))});
+      out.sends.push_back({id, encode_body(std::move(ack))});
       if (!fresh.empty()) flush_entries(out);
       return "";
     }
--- a/src/kin/mesh.h
+++ b/src/kin/mesh.h
@@ -40,7 +40,7 @@
   bool post(std::string const& name, T&& body, Sends& out) {
     std::map<std::string, Peer>::const_iterator const spot = roll.peers.find(name);
     if (spot == roll.peers.end() || spot->second.wire == 0) return false;
-    out.sends.push_back({spot->second.wire, encode(std::forward<T>(body))});
+    out.sends.push_back({spot->second.wire, encode_body(std::forward<T>(body))});
     return true;
   }
 
--- a/tests/mesh.cc
+++ b/tests/mesh.cc
@@ -29,7 +29,7 @@
   wire::PingT ping;
   ping.seq = 3;
   ping.table.push_back(std::make_unique<wire::MemberT>(*hello("c", "x").self));
-  std::string const good = encode(std::move(ping));
+  std::string const good = encode_body(std::move(ping));
   ASSERT_TRUE(decode(good));
   EXPECT_FALSE(decode(good.substr(0, good.size() - 1)));
   EXPECT_FALSE(decode(""));
@@ -43,7 +43,7 @@
     Node node(plan(), 0, std::nullopt);
     NodeOut out;
     node.opened(1, false, "", 0, out);
-    ASSERT_TRUE(node.bytes(1, encode(hello("pipit", "b")), 0, out));
+    ASSERT_TRUE(node.bytes(1, encode_body(hello("pipit", "b")), 0, out));
     if (node.bytes(1, bad, 1, out)) ++taken;  // what still verifies is handled like any frame
   }
   EXPECT_LT(taken, 4000);
@@ -54,7 +54,7 @@
   Node node(plan(), 0, std::nullopt);
   NodeOut out;
   node.opened(1, false, "", 0, out);
-  node.bytes(1, encode(hello("other", "b")), 0, out);
+  node.bytes(1, encode_body(hello("other", "b")), 0, out);
   EXPECT_EQ(out.mesh.shuts, std::vector<WireId>{1});
   EXPECT_TRUE(node.mesh.roll.peers.empty());
 }
@@ -64,11 +64,11 @@
   Node node(plan(), 0, std::nullopt);
   NodeOut out;
   node.opened(1, true, "10.0.0.2:1", 0, out);  // 'a' sorts first, so its own wire would be kept
-  node.bytes(1, encode(hello("pipit", "b")), 0, out);
+  node.bytes(1, encode_body(hello("pipit", "b")), 0, out);
   wire::HelloT next = hello("pipit", "b");
   next.self->incarnation = 6;
   node.opened(2, false, "", millis(10), out);
-  node.bytes(2, encode(std::move(next)), millis(10), out);
+  node.bytes(2, encode_body(std::move(next)), millis(10), out);
   EXPECT_EQ(node.mesh.roll.peers.at("b").wire, 2u);
   EXPECT_EQ(out.mesh.shuts, std::vector<WireId>{1});
 }
@@ -78,7 +78,7 @@
   Node node(plan(), 0, std::nullopt);
   NodeOut out;
   node.opened(1, false, "", 0, out);
-  node.bytes(1, encode(hello("pipit", "b")), 0, out);
+  node.bytes(1, encode_body(hello("pipit", "b")), 0, out);
   node.shut(1, millis(10), out);
   out = NodeOut();
   node.tick(millis(20), out);
@@ -90,8 +90,8 @@
   wire::HelloT third = hello("pipit", "c");
   third.self->address = "10.0.0.3:1";
   node.opened(2, false, "", millis(30), out);
-  node.bytes(2, encode(std::move(third)), millis(30), out);
-  node.bytes(2, encode(std::move(news)), millis(40), out);
+  node.bytes(2, encode_body(std::move(third)), millis(30), out);
+  node.bytes(2, encode_body(std::move(news)), millis(40), out);
   node.dial_failed("10.0.0.2:1", false, millis(900), out);
   out = NodeOut();
   node.tick(millis(1500), out);
