--- a/programs/decree/main.cc
+++ b/programs/decree/main.cc
@@ -58,7 +58,8 @@
   bool marks = false;
   options::options_description flags("Flags");
   flags.add_options()("node", options::value(&node), "IP:port of any node (default 127.0.0.1:7080)")(
-      "expect", options::value(&expect), "the serial that the change expects")("marks", options::bool_switch(&marks), "print serial and emptied zones, not the text")("help", "this text");
+      "expect", options::value(&expect), "the serial that the change expects")(
+      "marks", options::bool_switch(&marks), "print serial and emptied zones, not the text")("help", "this text");
   options::options_description all;
   all.add(flags);
   all.add_options()("words", options::value(&words));
@@ -90,7 +91,8 @@
     }
     Result<std::shared_ptr<Creed const>> const made = read_creed(text);
     if (!made) {
-      std::fprintf(stderr, "decree: %s: %s: %s\n", kind_row(made.error().kind).name, made.error().place.c_str(), made.error().why.c_str());
+      std::fprintf(stderr, "decree: %s: %s: %s\n", kind_row(made.error().kind).name, made.error().place.c_str(),
+                   made.error().why.c_str());
       return 2;
     }
     std::printf("good: %zu pools, %zu lanes\n", made.value()->pools.size(), made.value()->lanes.size());
@@ -112,8 +114,10 @@
   if (verb == "read" && words.size() == 1) {
     Got const got = talk("GET", node, "/v1/description", nullptr, "");
     if (got.status != 200) return show(got);
-    if (marks) std::printf("serial %s emptied %s\n", got.serial.c_str(), got.emptied.c_str());
-    else std::fwrite(got.body.data(), 1, got.body.size(), stdout);
+    if (marks)
+      std::printf("serial %s emptied %s\n", got.serial.c_str(), got.emptied.c_str());
+    else
+      std::fwrite(got.body.data(), 1, got.body.size(), stdout);
     return 0;
   }
   if ((verb == "empty" || verb == "refill") && two) {
--- a/programs/ordeal/main.cc
+++ b/programs/ordeal/main.cc
@@ -61,8 +61,10 @@
     std::string_view id;
     std::string_view standing;
     bool dark = true;
-    if (item["id"].get_string().get(id) || item["zone"].get_string().get(text) || item["standing"].get_string().get(standing) || item["dark"].get_bool().get(dark) ||
-        item["slots"].get_int64().get(worker.slots) || item["demand"].get_int64().get(worker.demand) || item["sent"].get_uint64().get(worker.sent))
+    if (item["id"].get_string().get(id) || item["zone"].get_string().get(text) ||
+        item["standing"].get_string().get(standing) || item["dark"].get_bool().get(dark) ||
+        item["slots"].get_int64().get(worker.slots) || item["demand"].get_int64().get(worker.demand) ||
+        item["sent"].get_uint64().get(worker.sent))
       return out;
     worker.zone = text;
     worker.serving = standing == "serving" && !dark;
@@ -73,7 +75,9 @@
     std::string_view state;
     std::string_view role;
     std::string_view http;
-    if (item["name"].get_string().get(name) || item["state"].get_string().get(state) || item["role"].get_string().get(role) || item["http"].get_string().get(http)) return out;
+    if (item["name"].get_string().get(name) || item["state"].get_string().get(state) ||
+        item["role"].get_string().get(role) || item["http"].get_string().get(http))
+      return out;
     if (role == "passage" && state == "alive") out.routers[std::string(name)] = http;
   }
   out.good = true;
@@ -88,7 +92,8 @@
 
 class Drill {
  public:
-  Drill(std::string node_, std::string zone_, double hold_, double most_) : node(std::move(node_)), zone(std::move(zone_)), hold(static_cast<Micros>(hold_ * 1e6)), most(most_) {}
+  Drill(std::string node_, std::string zone_, double hold_, double most_)
+      : node(std::move(node_)), zone(std::move(zone_)), hold(static_cast<Micros>(hold_ * 1e6)), most(most_) {}
 
   int run() {
     View const first = look(node);
@@ -120,8 +125,10 @@
     for (std::pair<std::string const, Worker> const& item : view.workers) {
       if (!item.second.serving) continue;
       demand += item.second.demand;
-      if (item.second.zone == zone) ++inside;
-      else rest += item.second.slots;
+      if (item.second.zone == zone)
+        ++inside;
+      else
+        rest += item.second.slots;
     }
     if (!view.emptied.empty()) return "the zone " + *view.emptied.begin() + " is emptied already";
     if (inside == 0) return "no worker serves in the zone " + zone;
@@ -152,7 +159,8 @@
     simdjson::dom::parser parser;
     simdjson::dom::element root;
     std::uint64_t serial = 0;
-    if (parser.parse(simdjson::padded_string(got.body)).get(root) || root["serial"].get_uint64().get(serial)) fault("the answer has no serial");
+    if (parser.parse(simdjson::padded_string(got.body)).get(root) || root["serial"].get_uint64().get(serial))
+      fault("the answer has no serial");
     std::map<std::string, std::uint64_t> sent;  // node and worker, as of five seconds after the yes
     while (!stopped && now() - yes < hold) {
       for (std::pair<std::string const, std::string> const& router : routers) {
@@ -163,7 +171,8 @@
           continue;
         }
         ++looks;
-        if (age > seconds(2) && view.serial < serial) fault(router.first + " has not the serial in force after two seconds");
+        if (age > seconds(2) && view.serial < serial)
+          fault(router.first + " has not the serial in force after two seconds");
         if (!view.ready) fault(router.first + " was not ready");
         for (std::pair<std::string const, Worker> const& item : view.workers) {
           std::string const key = router.first + " " + item.first;
@@ -201,8 +210,19 @@
 
   void report(bool back) const {
     Jot jot;
-    jot.open().key("zone").text(zone).key("routers").number(static_cast<std::int64_t>(routers.size())).key("looks").number(looks);
-    jot.key("confirmed_ms").number(confirmed / 1000).key("last_inside_ms").number(last_inside / 1000).key("sent_elsewhere").number(static_cast<std::int64_t>(elsewhere));
+    jot.open()
+        .key("zone")
+        .text(zone)
+        .key("routers")
+        .number(static_cast<std::int64_t>(routers.size()))
+        .key("looks")
+        .number(looks);
+    jot.key("confirmed_ms")
+        .number(confirmed / 1000)
+        .key("last_inside_ms")
+        .number(last_inside / 1000)
+        .key("sent_elsewhere")
+        .number(static_cast<std::int64_t>(elsewhere));
     jot.key("put_back").truth(back).key("interrupted").truth(stopped != 0).key("faults").list();
     for (std::string const& item : faults) jot.text(item);
     jot.unlist().shut();
@@ -226,8 +246,10 @@
   std::string zone;
   double hold = 10;
   double most = 0.8;
-  options::options_description flags("ordeal: takes a zone out of a live fleet, watches the promises, and puts it back");
-  flags.add_options()("node", options::value(&node), "IP:port of any node")("zone", options::value(&zone), "the zone")("hold", options::value(&hold), "seconds without it, above 5")(
+  options::options_description flags(
+      "ordeal: takes a zone out of a live fleet, watches the promises, and puts it back");
+  flags.add_options()("node", options::value(&node), "IP:port of any node")("zone", options::value(&zone), "the zone")(
+      "hold", options::value(&hold), "seconds without it, above 5")(
       "most", options::value(&most), "how much of the other zones' slots the demand may take")("help", "this text");
   try {
     options::variables_map map;
@@ -242,7 +264,8 @@
     return 2;
   }
   if (!good_address(node) || zone.empty() || hold <= 5 || hold > 600 || most <= 0 || most > 1) {
-    std::fprintf(stderr, "ordeal: --node IP:port, --zone, a --hold above 5 and at most 600, and --most up to 1 are needed\n");
+    std::fprintf(stderr,
+                 "ordeal: --node IP:port, --zone, a --hold above 5 and at most 600, and --most up to 1 are needed\n");
     return 2;
   }
   struct sigaction act = {};
--- a/proof/augury/main.cc
+++ b/proof/augury/main.cc
@@ -25,8 +25,11 @@
   unsigned jobs = std::thread::hardware_concurrency();
   double length = 30;
   options::options_description flags("augury: seeded worlds of the product's cores under virtual time");
-  flags.add_options()("shape", options::value(&shape_name), "coop or utility")("from", options::value(&from), "the first seed")("seeds", options::value(&count), "how many")(
-      "jobs", options::value(&jobs))("length", options::value(&length), "seconds of trouble")("only", options::value(&only), "kinds of trouble, with commas between")("off", options::value(&off), "switch one guard off")("log", "print events (one seed)")("help", "");
+  flags.add_options()("shape", options::value(&shape_name), "coop or utility")(
+      "from", options::value(&from), "the first seed")("seeds", options::value(&count), "how many")(
+      "jobs", options::value(&jobs))("length", options::value(&length), "seconds of trouble")(
+      "only", options::value(&only), "kinds of trouble, with commas between")(
+      "off", options::value(&off), "switch one guard off")("log", "print events (one seed)")("help", "");
   bool loud = false;
   try {
     options::variables_map map;
@@ -39,7 +42,8 @@
       std::size_t n = 0;
       GuardRow const* const rows = guard_rows(n);
       std::cout << "\nGuards:\n";
-      for (std::size_t i = 0; i < n; ++i) std::cout << "  " << rows[i].name << " (" << rows[i].point << "): " << rows[i].text << "\n";
+      for (std::size_t i = 0; i < n; ++i)
+        std::cout << "  " << rows[i].name << " (" << rows[i].point << "): " << rows[i].text << "\n";
       return 0;
     }
   } catch (options::error const& bad) {
@@ -53,7 +57,8 @@
   std::string part;
   std::vector<std::string> const all = World::troubles();
   while (std::getline(parts, part, ',')) {
-    if (std::find(all.begin(), all.end(), part) == all.end()) return std::fprintf(stderr, "augury: there is no trouble '%s'\n", part.c_str()), 2;
+    if (std::find(all.begin(), all.end(), part) == all.end())
+      return std::fprintf(stderr, "augury: there is no trouble '%s'\n", part.c_str()), 2;
     kept.push_back(part);
   }
   Guard guard = Guard::none;
@@ -61,8 +66,10 @@
   GuardRow const* const rows = guard_rows(n);
   for (std::size_t i = 0; i < n; ++i)
     if (off == rows[i].name) guard = static_cast<Guard>(i);
-  if (!off.empty() && guard == Guard::none) return std::fprintf(stderr, "augury: there is no guard '%s'\n", off.c_str()), 2;
-  if (count == 0 || length <= 0 || length > 600) return std::fprintf(stderr, "augury: seeds and length must be above 0, length at most 600\n"), 2;
+  if (!off.empty() && guard == Guard::none)
+    return std::fprintf(stderr, "augury: there is no guard '%s'\n", off.c_str()), 2;
+  if (count == 0 || length <= 0 || length > 600)
+    return std::fprintf(stderr, "augury: seeds and length must be above 0, length at most 600\n"), 2;
   hush(!loud);
   std::atomic<std::uint64_t> next{from};
   std::mutex gate;
@@ -98,14 +105,20 @@
         if (end.faults.empty()) continue;
         ++bad;
         if (bad <= 12)
-          for (std::size_t f = 0; f < std::min<std::size_t>(3, end.faults.size()); ++f) std::printf("seed %llu %s\n", static_cast<unsigned long long>(seed), end.faults[f].c_str());
+          for (std::size_t f = 0; f < std::min<std::size_t>(3, end.faults.size()); ++f)
+            std::printf("seed %llu %s\n", static_cast<unsigned long long>(seed), end.faults[f].c_str());
       }
     });
   for (std::thread& item : team) item.join();
-  std::printf("%s: %llu seeds, %llu with faults; %llu answers, %llu runs, %llu changes, %llu reads, %llu troubles\n", shape_name.c_str(), static_cast<unsigned long long>(count), static_cast<unsigned long long>(bad),
-              static_cast<unsigned long long>(done), static_cast<unsigned long long>(runs), static_cast<unsigned long long>(accepted), static_cast<unsigned long long>(reads), static_cast<unsigned long long>(troubles));
-  std::printf("worst: after a mark %lld ms, after an empty %lld ms, in force %lld ms, back %lld ms, cold %d, re-sends %.3f\n", static_cast<long long>(worst.mark / 1000), static_cast<long long>(worst.empty / 1000), static_cast<long long>(worst.force / 1000),
-              static_cast<long long>(worst.back / 1000), worst.cold, worst.resend);
+  std::printf("%s: %llu seeds, %llu with faults; %llu answers, %llu runs, %llu changes, %llu reads, %llu troubles\n",
+              shape_name.c_str(), static_cast<unsigned long long>(count), static_cast<unsigned long long>(bad),
+              static_cast<unsigned long long>(done), static_cast<unsigned long long>(runs),
+              static_cast<unsigned long long>(accepted), static_cast<unsigned long long>(reads),
+              static_cast<unsigned long long>(troubles));
+  std::printf(
+      "worst: after a mark %lld ms, after an empty %lld ms, in force %lld ms, back %lld ms, cold %d, re-sends %.3f\n",
+      static_cast<long long>(worst.mark / 1000), static_cast<long long>(worst.empty / 1000),
+      static_cast<long long>(worst.force / 1000), static_cast<long long>(worst.back / 1000), worst.cold, worst.resend);
   for (std::pair<std::string const, int> const& item : kinds) std::printf("%s %d, ", item.first.c_str(), item.second);
   std::printf("\n");
   return bad == 0 && done > 0 ? 0 : 1;
--- a/proof/augury/world.cc
+++ b/proof/augury/world.cc
@@ -84,7 +84,8 @@
 World::~World() = default;
 
 std::vector<std::string> World::troubles() {
-  return {"kill", "power", "freeze", "cut", "split", "keepers", "blank", "exchange", "slow", "hand", "dark", "release", "leave", "list", "race", "storm", "large", "loss", "drain", "closing", "crowd", "refuse"};
+  return {"kill",    "power", "freeze", "cut",  "split", "keepers", "blank", "exchange", "slow",    "hand",  "dark",
+          "release", "leave", "list",   "race", "storm", "large",   "loss",  "drain",    "closing", "crowd", "refuse"};
 }
 
 void World::at(Micros when, std::function<void()> act) { events.push(Event_{when, ++order, std::move(act)}); }
@@ -92,7 +93,9 @@
 void World::fault(std::string const& what) {
   if (end.faults.size() < 20) end.faults.push_back(what + " at " + std::to_string(now / 1000) + " ms");
 }
-Micros World::clock(Box const& box) const { return box.offset + static_cast<Micros>(static_cast<double>(now) * box.rate); }
+Micros World::clock(Box const& box) const {
+  return box.offset + static_cast<Micros>(static_cast<double>(now) * box.rate);
+}
 
 // ---- machines
 
@@ -111,7 +114,9 @@
 void World::boot(Box& box) {
   if (box.up()) return;
   box.life = ++lives;
-  if (!hushed()) std::printf("default] %lld BOOT %s %s\n", static_cast<long long>(now / 1000), box.name.c_str(), box.address.c_str());
+  if (!hushed())
+    std::printf("default] %lld BOOT %s %s\n", static_cast<long long>(now / 1000), box.name.c_str(),
+                box.address.c_str());
   box.frozen = false;
   box.power = false;
   box.deferred.clear();
@@ -217,27 +222,30 @@
   // What is in force on a node is checked whenever it may have changed.
   std::uint64_t const serial = box.node->learner.serial();
   if (serial == box.serial) return;
-  if (serial < box.serial) fault("N7 " + box.name + " went from serial " + std::to_string(box.serial) + " to " + std::to_string(serial));
+  if (serial < box.serial)
+    fault("N7 " + box.name + " went from serial " + std::to_string(box.serial) + " to " + std::to_string(serial));
   box.serial = serial;
   std::string const& change = box.node->learner.value->change;
   note(box.name + " " + std::to_string(serial) + " " + change);
   std::map<std::uint64_t, std::string>::const_iterator const seen = serial_change.find(serial);
-  if (seen != serial_change.end() && seen->second != change) fault("N8 serial " + std::to_string(serial) + " is " + seen->second + " and " + change);
+  if (seen != serial_change.end() && seen->second != change)
+    fault("N8 serial " + std::to_string(serial) + " is " + seen->second + " and " + change);
   serial_change[serial] = change;
   if (refused_changes.count(change)) fault("N8 the refused change " + change + " is in force on " + box.name);
 }
 
 void World::tick(Box& box, std::uint64_t life) {
   if (!box.up() || box.life != life) return;
-  if (!box.frozen)
-    enter(box, life, [](Box& item, Micros t, NodeOut& out) { item.node->tick(t, out); });
+  if (!box.frozen) enter(box, life, [](Box& item, Micros t, NodeOut& out) { item.node->tick(t, out); });
   std::string const name = box.name;
   after(millis(50), [this, name, life] { tick(*boxes[name], life); });
 }
 
 void World::set_cut(std::string const& a, std::string const& b, bool on) {
-  if (on) cuts.insert({a, b});
-  else cuts.erase({a, b});
+  if (on)
+    cuts.insert({a, b});
+  else
+    cuts.erase({a, b});
   for (std::string const& name : {a, b})
     if (boxes.count(name)) boxes[name]->troubled = now;
 }
@@ -267,7 +275,9 @@
   if (dead_end || !target->up()) {
     // A machine without power, or behind a cut, says nothing; a machine without the process refuses.
     after(dead_end ? seconds(1) : lag(), [this, from, life, address, dead_end] {
-      enter(*boxes[from], life, [address, dead_end](Box& item, Micros t, NodeOut& out) { item.node->dial_failed(address, !dead_end, t, out); });
+      enter(*boxes[from], life, [address, dead_end](Box& item, Micros t, NodeOut& out) {
+        item.node->dial_failed(address, !dead_end, t, out);
+      });
     });
     return;
   }
@@ -286,13 +296,16 @@
       Box& item = *boxes[link->name[side]];
       if (!item.up() || item.life != link->life[side]) return;
       if (!link->open) {  // the other side ended it already
-        if (side == 0) enter(item, item.life, [address](Box& b, Micros t, NodeOut& out) { b.node->dial_failed(address, false, t, out); });
+        if (side == 0)
+          enter(item, item.life,
+                [address](Box& b, Micros t, NodeOut& out) { b.node->dial_failed(address, false, t, out); });
         return;
       }
       link->wire[side] = ++item.next_wire;
       item.wires[link->wire[side]] = {link, side};
       WireId const id = link->wire[side];
-      enter(item, item.life, [id, side, address](Box& b, Micros t, NodeOut& out) { b.node->opened(id, side == 0, address, t, out); });
+      enter(item, item.life,
+            [id, side, address](Box& b, Micros t, NodeOut& out) { b.node->opened(id, side == 0, address, t, out); });
     });
 }
 
@@ -318,7 +331,8 @@
     return;
   }
   // Wires differ in pace; on one wire the order stands.
-  Micros const when = std::max(link->last[side] + 1, now + lag() + (dice.chance(0.01) ? lag(millis(5), millis(80)) : 0));
+  Micros const when =
+      std::max(link->last[side] + 1, now + lag() + (dice.chance(0.01) ? lag(millis(5), millis(80)) : 0));
   link->last[side] = when;
   at(when, [this, link, to, side, bytes = std::move(bytes)] {
     if (!link->open) {
@@ -346,7 +360,9 @@
     box.wires.erase(id);
     std::string const name = box.name;
     std::uint64_t const life = box.life;
-    after(lag(), [this, name, life, id] { enter(*boxes[name], life, [id](Box& b, Micros t, NodeOut& out) { b.node->shut(id, t, out); }); });
+    after(lag(), [this, name, life, id] {
+      enter(*boxes[name], life, [id](Box& b, Micros t, NodeOut& out) { b.node->shut(id, t, out); });
+    });
     return;
   }
   pass(spot->second.first, spot->second.second, std::move(bytes));
@@ -424,7 +440,8 @@
               if (past.first <= now - seconds(1)) v.demand = past.second;
             report = v;
           }
-      enter(*boxes[name], life, [check, report, no](Box& b, Micros t, NodeOut& o) { b.node->vitals(check, report, no, t, o); });
+      enter(*boxes[name], life,
+            [check, report, no](Box& b, Micros t, NodeOut& o) { b.node->vitals(check, report, no, t, o); });
     });
   }
 }
@@ -484,10 +501,13 @@
     if (hands[worker]->life != hand_life) return done(LegEnd::unreached);
     // The wire is open: from here a byte may have left, even if this node is stopped in the very next moment.
     item.node->leg_sent(errand);
-    after(lag(), [this, name, life, errand, number, worker, hand_life, wish, stall] { arrive(name, life, errand, number, worker, hand_life, wish, stall); });
+    after(lag(), [this, name, life, errand, number, worker, hand_life, wish, stall] {
+      arrive(name, life, errand, number, worker, hand_life, wish, stall);
+    });
     after(answer, [this, name, life, errand, number, worker, hand_life, wish, done] {
       Box& late = *boxes[name];
-      if (late.up() && late.life == life && late.legs.count(errand) && late.legs[errand] == number && !(late.begun.count(errand) && late.begun[errand] == number)) {
+      if (late.up() && late.life == life && late.legs.count(errand) && late.legs[errand] == number &&
+          !(late.begun.count(errand) && late.begun[errand] == number)) {
         hands[worker]->runs.erase(wish);
         done(LegEnd::silent);
       }
@@ -495,7 +515,8 @@
   });
 }
 
-void World::arrive(std::string const& name, std::uint64_t life, std::uint64_t errand, int number, std::string const& worker, std::uint64_t hand_life, std::uint64_t wish, Micros stall) {
+void World::arrive(std::string const& name, std::uint64_t life, std::uint64_t errand, int number,
+                   std::string const& worker, std::uint64_t hand_life, std::uint64_t wish, Micros stall) {
   Hand& hand = *hands[worker];
   auto const done = [this, name, life, errand, number](LegEnd how) {
     enter(*boxes[name], life, [errand, number, how](Box& b, Micros t, NodeOut& out) {
@@ -511,7 +532,9 @@
   if (hand.life != hand_life) return after(lag(), [done] { done(LegEnd::broke); });
   if (hand.refusing) return after(lag(), [done] { done(LegEnd::refused); });
   if (hand.frozen) {  // it lies in the worker's socket until the worker wakes
-    after(millis(200), [this, name, life, errand, number, worker, hand_life, wish, stall] { arrive(name, life, errand, number, worker, hand_life, wish, stall); });
+    after(millis(200), [this, name, life, errand, number, worker, hand_life, wish, stall] {
+      arrive(name, life, errand, number, worker, hand_life, wish, stall);
+    });
     return;
   }
   Box& box = *boxes[name];
@@ -525,13 +548,15 @@
   if (marked.count(hand.life) && !unread) {
     Micros const gap = now - marked.at(hand.life);
     end.margins.mark = std::max(end.margins.mark, gap);
-    if (gap > seconds(3)) fault("N5 " + worker + " got a request from " + name + " " + std::to_string(gap / 1000) + " ms after its mark");
+    if (gap > seconds(3))
+      fault("N5 " + worker + " got a request from " + name + " " + std::to_string(gap / 1000) + " ms after its mark");
   }
   for (Emptied const& zone : emptied[hand.row.zone]) {
     if (zone.to >= 0 && now >= zone.to) continue;
     Micros const gap = now - zone.from;
     end.margins.empty = std::max(end.margins.empty, gap);
-    if (gap > seconds(5)) fault("N6 " + worker + " got a request from " + name + " " + std::to_string(gap / 1000) + " ms after the yes");
+    if (gap > seconds(5))
+      fault("N6 " + worker + " got a request from " + name + " " + std::to_string(gap / 1000) + " ms after the yes");
   }
   if (now - hand.woke < seconds(5) && hand.woke > seconds(4)) {
     hand.cold_starts.push_back(now);
@@ -539,7 +564,8 @@
     for (Micros const t : hand.cold_starts)
       if (now - t < seconds(1)) ++n;
     end.margins.cold = std::max(end.margins.cold, n);
-    if (n > plan.shape->cold) fault("N11 " + worker + " got " + std::to_string(n) + " within a second of its cold start");
+    if (n > plan.shape->cold)
+      fault("N11 " + worker + " got " + std::to_string(n) + " within a second of its cold start");
   }
   // Whoever sent it may be gone already: then its wire is shut and the worker stops at once.
   if (!box.up() || box.life != life) return;
@@ -582,7 +608,8 @@
   Kin const& kin = plan.shape->kinds[dice.below(plan.shape->kinds.size())];
   wish->safe = kin.safe;
   wish->tag = kin.lane;
-  wish->opening = std::min(dice.below(static_cast<std::uint64_t>(kin.openings)), dice.below(static_cast<std::uint64_t>(kin.openings)));
+  wish->opening = std::min(dice.below(static_cast<std::uint64_t>(kin.openings)),
+                           dice.below(static_cast<std::uint64_t>(kin.openings)));
   wish->came = now;
   std::uint64_t const id = ++wish_count;
   wishes[id] = std::move(wish);
@@ -690,15 +717,19 @@
   if (outcome.sort == Outcome::Sort::refused) {
     refused_changes.insert(reply.change);
     for (std::pair<std::uint64_t const, std::string> const& seen : serial_change)
-      if (seen.second == reply.change) fault("N8 the refused change " + reply.change + " was in force before its refusal");
+      if (seen.second == reply.change)
+        fault("N8 the refused change " + reply.change + " was in force before its refusal");
   }
   if (!holds) return;
   std::uint64_t const serial = outcome.value.serial;
   std::uint64_t const own = outcome.serial;
   // Whatever is read or chosen is not older than what was accepted before it was asked for.
-  if (serial < change.floor) fault("N9 " + reply.change + " saw serial " + std::to_string(serial) + " after " + std::to_string(change.floor) + " was accepted");
+  if (serial < change.floor)
+    fault("N9 " + reply.change + " saw serial " + std::to_string(serial) + " after " + std::to_string(change.floor) +
+          " was accepted");
   std::map<std::uint64_t, std::string>::const_iterator const seen = serial_change.find(serial);
-  if (seen != serial_change.end() && seen->second != outcome.value.change) fault("N8 serial " + std::to_string(serial) + " is " + seen->second + " and " + outcome.value.change);
+  if (seen != serial_change.end() && seen->second != outcome.value.change)
+    fault("N8 serial " + std::to_string(serial) + " is " + seen->second + " and " + outcome.value.change);
   serial_change[serial] = outcome.value.change;
   if (change.sort == Change::Sort::read) {
     ++end.reads;
@@ -706,7 +737,8 @@
     // The text is that of the last accepted apply, unless an apply of unknown outcome came after it.
     if (last != yes.begin()) {
       --last;
-      if (last->first == serial && outcome.value.text != last->second.second) fault("N9 what is read differs from what was accepted");
+      if (last->first == serial && outcome.value.text != last->second.second)
+        fault("N9 what is read differs from what was accepted");
     }
     return;
   }
@@ -733,7 +765,9 @@
     // Not when a refill was under way: it may have come after. One of unknown outcome may still come.
     bool undone = false;
     for (std::pair<std::uint64_t const, std::unique_ptr<Change_>> const& other : changes)
-      if (other.second->sort == Change::Sort::refill && other.second->text == change.text && (other.second->answered < 0 || other.second->answered >= change.from)) undone = true;
+      if (other.second->sort == Change::Sort::refill && other.second->text == change.text &&
+          (other.second->answered < 0 || other.second->answered >= change.from))
+        undone = true;
     if (!undone) emptied[change.text].push_back(Emptied{now, -1});
   }
 }
@@ -752,10 +786,14 @@
     bool asked = false;
     for (std::pair<std::uint64_t const, std::unique_ptr<Change_>> const& item : changes)
       asked = asked || (item.second->sort == Change::Sort::empty && now - item.second->from < seconds(5));
-    if (r < 4) operate(Change::Sort::apply, description_of(*plan.shape, ++turn), yes_serial, *box);
-    else if (r < 6) operate(Change::Sort::read, "", 0, *box);
-    else if (r < 8 && !any_empty && !asked && seen.empty()) operate(Change::Sort::empty, zone, 0, *box);
-    else if (!seen.empty()) operate(Change::Sort::refill, std::string(*seen.begin()), 0, *box);
+    if (r < 4)
+      operate(Change::Sort::apply, description_of(*plan.shape, ++turn), yes_serial, *box);
+    else if (r < 6)
+      operate(Change::Sort::read, "", 0, *box);
+    else if (r < 8 && !any_empty && !asked && seen.empty())
+      operate(Change::Sort::empty, zone, 0, *box);
+    else if (!seen.empty())
+      operate(Change::Sort::refill, std::string(*seen.begin()), 0, *box);
     else
       for (std::pair<std::string const, std::vector<Emptied>> const& item : emptied)
         if (!item.second.empty() && item.second.back().to < 0) {
@@ -785,9 +823,14 @@
         for (std::pair<std::string const, std::unique_ptr<Box>> const& item : boxes)
           if (item.second->up() && item.second->role == Role::passage)
             for (std::pair<std::string const, Worker> const& w : item.second->node->fleet.workers)
-              std::printf("%s knows %s incarnation %llu standing %d dark %d doubted %d zone %s\n", item.first.c_str(), w.first.c_str(), static_cast<unsigned long long>(w.second.row.incarnation), static_cast<int>(w.second.standing), w.second.dark, w.second.doubted, w.second.row.zone.c_str());
-      if (back_at < 0) fault("N12 service was not back twelve seconds after a full loss");
-      else end.margins.back = std::max(end.margins.back, back_at - from);
+              std::printf("%s knows %s incarnation %llu standing %d dark %d doubted %d zone %s\n", item.first.c_str(),
+                          w.first.c_str(), static_cast<unsigned long long>(w.second.row.incarnation),
+                          static_cast<int>(w.second.standing), w.second.dark, w.second.doubted,
+                          w.second.row.zone.c_str());
+      if (back_at < 0)
+        fault("N12 service was not back twelve seconds after a full loss");
+      else
+        end.margins.back = std::max(end.margins.back, back_at - from);
     });
   });
 }
@@ -843,7 +886,9 @@
     if (keeper != nullptr && cuts.empty()) {
       Ring const& ring = keeper->node->learner.ring();
       for (std::pair<std::string const, std::unique_ptr<Box>> const& item : boxes)
-        if (item.second->role == Role::accord && item.second->up() && item.second->disk && ring.holds(item.first, item.second->disk->disk)) ++whole;
+        if (item.second->role == Role::accord && item.second->up() && item.second->disk &&
+            ring.holds(item.first, item.second->disk->disk))
+          ++whole;
       if (whole == static_cast<std::size_t>(plan.shape->keepers) && ring.keepers.size() == whole) {
         halt(*keeper, dice.chance(0.5));
         keeper->disk.reset();
@@ -942,11 +987,13 @@
     });
   } else if (sort == "race") {
     for (int i = 0; i < 2 + static_cast<int>(dice.below(3)); ++i)
-      if (Box* const at_box = pick_up()) operate(Change::Sort::apply, description_of(*plan.shape, ++turn), yes_serial, *at_box);
+      if (Box* const at_box = pick_up())
+        operate(Change::Sort::apply, description_of(*plan.shape, ++turn), yes_serial, *at_box);
   } else if (sort == "storm") {
     for (int i = 0; i < 20; ++i)
       after(lag(1, millis(800)), [this] {
-        if (Box* const at_box = pick_up()) operate(Change::Sort::apply, description_of(*plan.shape, ++turn), yes_serial, *at_box);
+        if (Box* const at_box = pick_up())
+          operate(Change::Sort::apply, description_of(*plan.shape, ++turn), yes_serial, *at_box);
       });
   } else if (sort == "large") {
     operate(Change::Sort::apply, description_of(*plan.shape, ++turn) + std::string(300000, ' '), yes_serial, *box);
@@ -965,15 +1012,16 @@
     closing = dice.chance(0.6);
     operate(Change::Sort::apply, description_of(*plan.shape, ++turn), yes_serial, *box);
     std::string const name = box->name;
-    if (!closing) after(lag(millis(10), millis(60)), [this, name] {
-      halt(*boxes[name], true);
-      if (Box* const keeper = pick([](Box const& b) { return b.role == Role::accord; })) {
-        std::string const other = keeper->name;
-        halt(*keeper, true);
-        after(lag(millis(500), seconds(3)), [this, other] { boot(*boxes[other]); });
-      }
-      after(lag(millis(500), seconds(3)), [this, name] { boot(*boxes[name]); });
-    });
+    if (!closing)
+      after(lag(millis(10), millis(60)), [this, name] {
+        halt(*boxes[name], true);
+        if (Box* const keeper = pick([](Box const& b) { return b.role == Role::accord; })) {
+          std::string const other = keeper->name;
+          halt(*keeper, true);
+          after(lag(millis(500), seconds(3)), [this, other] { boot(*boxes[other]); });
+        }
+        after(lag(millis(500), seconds(3)), [this, name] { boot(*boxes[name]); });
+      });
   } else if (sort == "refuse") {
     // Every worker says for a while that it does not run what it gets.
     for (std::pair<std::string const, std::unique_ptr<Hand>>& item : hands) item.second->refusing = true;
@@ -1033,7 +1081,8 @@
       resends += item.second->node->desk.tally.resends;
     }
   if (first_sends > 0) end.margins.resend = static_cast<double>(resends) / static_cast<double>(first_sends);
-  if (static_cast<double>(resends) > 0.2 * static_cast<double>(first_sends) + 3.0 * static_cast<double>(lives)) fault("N10 " + std::to_string(resends) + " re-sends for " + std::to_string(first_sends) + " sends");
+  if (static_cast<double>(resends) > 0.2 * static_cast<double>(first_sends) + 3.0 * static_cast<double>(lives))
+    fault("N10 " + std::to_string(resends) + " re-sends for " + std::to_string(first_sends) + " sends");
   // After a quiet while everything is whole again: one serial, every node ready, the keeper set full.
   std::set<std::uint64_t> serials;
   for (std::pair<std::string const, std::unique_ptr<Box>> const& item : boxes) {
@@ -1046,13 +1095,20 @@
       if (item.second->up())
         for (std::pair<std::string const, Peer> const& peer : item.second->node->mesh.roll.peers)
           if (peer.first[0] == 'k')
-            std::printf("%s serial %llu knows %s at %s %s wire %llu dialling %d refused %d\n", item.first.c_str(), static_cast<unsigned long long>(item.second->node->learner.serial()), peer.first.c_str(), peer.second.member.address.c_str(), state_word(peer.second.state()), static_cast<unsigned long long>(peer.second.wire), peer.second.dialling, peer.second.refused);
-  if (serials.size() != 1) fault("N7 nodes differ in serial after a quiet while");
-  else if (*serials.begin() < yes_serial) fault("N9 serial " + std::to_string(yes_serial) + " was accepted, and " + std::to_string(*serials.begin()) + " is in force at the end");
+            std::printf("%s serial %llu knows %s at %s %s wire %llu dialling %d refused %d\n", item.first.c_str(),
+                        static_cast<unsigned long long>(item.second->node->learner.serial()), peer.first.c_str(),
+                        peer.second.member.address.c_str(), state_word(peer.second.state()),
+                        static_cast<unsigned long long>(peer.second.wire), peer.second.dialling, peer.second.refused);
+  if (serials.size() != 1)
+    fault("N7 nodes differ in serial after a quiet while");
+  else if (*serials.begin() < yes_serial)
+    fault("N9 serial " + std::to_string(yes_serial) + " was accepted, and " + std::to_string(*serials.begin()) +
+          " is in force at the end");
   if (end.done == 0) fault("no traffic was seen");
   for (std::pair<std::string const, std::unique_ptr<Box>> const& item : boxes)
     if (item.second->up()) {
-      if (item.second->node->learner.ring().keepers.size() != static_cast<std::size_t>(plan.shape->keepers)) fault("repair: the set of keepers is not whole after a quiet while");
+      if (item.second->node->learner.ring().keepers.size() != static_cast<std::size_t>(plan.shape->keepers))
+        fault("repair: the set of keepers is not whole after a quiet while");
       break;
     }
 }
@@ -1069,7 +1125,13 @@
   }
   for (int n = 1; n <= plan.shape->workers; ++n) {
     std::unique_ptr<Hand> hand = std::make_unique<Hand>();
-    hand->row = ListRow{"w" + std::to_string(n), "10.0.3." + std::to_string(n) + ":9000", plan.shape->zones[static_cast<std::size_t>(i++) % plan.shape->zones.size()], n % 3 == 0 ? "press" : "main", 1, 60, false};
+    hand->row = ListRow{"w" + std::to_string(n),
+                        "10.0.3." + std::to_string(n) + ":9000",
+                        plan.shape->zones[static_cast<std::size_t>(i++) % plan.shape->zones.size()],
+                        n % 3 == 0 ? "press" : "main",
+                        1,
+                        60,
+                        false};
     hand_up(*hand);
     hands[hand->row.id] = std::move(hand);
   }
@@ -1080,7 +1142,8 @@
   at(seconds(7), [this] { trouble(); });
   at(seconds(4), [this] { check(); });
   Micros gap = static_cast<Micros>(1e6 / plan.rate);
-  for (Micros t = seconds(5); t < end_trouble + seconds(6); t += gap) at(t + static_cast<Micros>(dice.below(static_cast<std::uint64_t>(gap))), [this] { call(); });
+  for (Micros t = seconds(5); t < end_trouble + seconds(6); t += gap)
+    at(t + static_cast<Micros>(dice.below(static_cast<std::uint64_t>(gap))), [this] { call(); });
   at(end_trouble, [this] {
     quiet = true;
     heal();
@@ -1104,7 +1167,10 @@
     events.pop();
     now = std::max(now, item.at);
     item.act();
-    if (links.size() > 400) links.erase(std::remove_if(links.begin(), links.end(), [](std::shared_ptr<Link> const& link) { return !link->open; }), links.end());
+    if (links.size() > 400)
+      links.erase(
+          std::remove_if(links.begin(), links.end(), [](std::shared_ptr<Link> const& link) { return !link->open; }),
+          links.end());
   }
   last_checks();
   note("frames " + std::to_string(end.frames) + " done " + std::to_string(end.done));
--- a/proof/augury/world.h
+++ b/proof/augury/world.h
@@ -18,18 +18,18 @@
 struct WorldPlan {
   Shape const* shape = nullptr;
   std::uint64_t seed = 1;
-  Micros length = seconds(30);  // of trouble; a quiet end follows
-  double rate = 25;             // requests a second
+  Micros length = seconds(30);    // of trouble; a quiet end follows
+  double rate = 25;               // requests a second
   std::vector<std::string> only;  // these kinds of trouble, or all
 };
 
 struct Margins {
-  Micros mark = -1;      // latest start after a mark
-  Micros empty = -1;     // latest start after a yes
-  Micros force = 0;      // slowest description
-  Micros back = -1;      // service after a full loss
-  int cold = 0;          // most starts in a second at a cold worker
-  double resend = 0;     // share of re-sends
+  Micros mark = -1;   // latest start after a mark
+  Micros empty = -1;  // latest start after a yes
+  Micros force = 0;   // slowest description
+  Micros back = -1;   // service after a full loss
+  int cold = 0;       // most starts in a second at a cold worker
+  double resend = 0;  // share of re-sends
 };
 
 struct WorldEnd {
@@ -49,11 +49,11 @@
   static std::vector<std::string> troubles();
 
  private:
-  struct Box;     // a node with its machine
-  struct Link;    // a wire between two boxes
-  struct Hand;    // a worker
-  struct Wish;    // one attempt of a caller
-  struct Change_; // an operator's change
+  struct Box;      // a node with its machine
+  struct Link;     // a wire between two boxes
+  struct Hand;     // a worker
+  struct Wish;     // one attempt of a caller
+  struct Change_;  // an operator's change
   struct Event_ {
     Micros at;
     std::uint64_t order;
@@ -65,7 +65,9 @@
   void after(Micros wait, std::function<void()> act) { at(now + wait, std::move(act)); }
   void note(std::string const& what);
   void fault(std::string const& what);
-  Micros lag(Micros least = 300, Micros most = 4000) { return least + static_cast<Micros>(dice.below(static_cast<std::uint64_t>(most - least))); }
+  Micros lag(Micros least = 300, Micros most = 4000) {
+    return least + static_cast<Micros>(dice.below(static_cast<std::uint64_t>(most - least)));
+  }
 
   // machines
   Box& add(std::string const& name, std::string const& address, std::string const& zone, Role role);
@@ -87,7 +89,8 @@
 
   // workers and callers
   void leg(Box& box, Start const& start);
-  void arrive(std::string const& box, std::uint64_t life, std::uint64_t errand, int leg, std::string const& worker, std::uint64_t hand_life, std::uint64_t wish, Micros stall);
+  void arrive(std::string const& box, std::uint64_t life, std::uint64_t errand, int leg, std::string const& worker,
+              std::uint64_t hand_life, std::uint64_t wish, Micros stall);
   void hand_up(Hand& hand);
   void hand_down(Hand& hand);
   void write_list();
@@ -103,7 +106,9 @@
   void check();
   void last_checks();
   Box* pick(std::function<bool(Box const&)> const& fits);
-  Box* pick_up() { return pick([](Box const&) { return true; }); }
+  Box* pick_up() {
+    return pick([](Box const&) { return true; });
+  }
   void full_loss();
 
   WorldPlan const plan;
@@ -131,7 +136,7 @@
   int turn = 0;
   bool quiet = false;
   std::uint64_t yes_serial = 0;
-  std::map<std::uint64_t, std::string> serial_change;  // what was ever seen in force under a serial
+  std::map<std::uint64_t, std::string> serial_change;           // what was ever seen in force under a serial
   std::map<std::uint64_t, std::pair<Micros, std::string>> yes;  // accepted applies: when, and the text
   std::set<std::string> refused_changes;
   std::map<std::uint64_t, Micros> due_force;
--- a/proof/chorus/main.cc
+++ b/proof/chorus/main.cc
@@ -116,7 +116,8 @@
     Micros const end = host.begin + static_cast<Micros>(host.plan.seconds * 1e6);
     while (host.next_at <= t && host.next_at < end) {
       host.fresh();
-      host.next_at += static_cast<Micros>(1e6 / host.plan.rate * (0.5 + static_cast<double>(host.dice.below(1000)) / 1000.0));
+      host.next_at +=
+          static_cast<Micros>(1e6 / host.plan.rate * (0.5 + static_cast<double>(host.dice.below(1000)) / 1000.0));
     }
     if (t < end) return G_SOURCE_CONTINUE;
     if (host.open == 0 || t > end + seconds(40)) {
@@ -136,7 +137,8 @@
     std::uint64_t const a = dice.below(static_cast<std::uint64_t>(call->kin->openings));
     std::uint64_t const b = dice.below(static_cast<std::uint64_t>(call->kin->openings));
     std::uint64_t const pick = hot ? 0 : std::min(a, b);
-    call->prompt = filler(mix(call->kin->lane) + pick, call->kin->opening) + " #" + std::to_string(call->number) + " " + filler(plan.seed * 1000003 + call->number, call->kin->tail);
+    call->prompt = filler(mix(call->kin->lane) + pick, call->kin->opening) + " #" + std::to_string(call->number) + " " +
+                   filler(plan.seed * 1000003 + call->number, call->kin->tail);
     call->came = now();
     ++open;
     send(std::move(call));
@@ -147,11 +149,20 @@
     item->host = this;
     item->attempt = attempts.size();
     Attempt note;
-    note.tag = call->kin->lane + "-" + std::to_string(plan.seed) + "-" + std::to_string(call->number) + "." + std::to_string(call->attempts++);
+    note.tag = call->kin->lane + "-" + std::to_string(plan.seed) + "-" + std::to_string(call->number) + "." +
+               std::to_string(call->attempts++);
     note.safe = call->kin->safe;
     attempts.push_back(note);
     Jot jot;
-    jot.open().key("model").text("tribute").key("user").text(note.tag).key("max_tokens").number(call->kin->pieces).key("stream").truth(call->kin->stream);
+    jot.open()
+        .key("model")
+        .text("tribute")
+        .key("user")
+        .text(note.tag)
+        .key("max_tokens")
+        .number(call->kin->pieces)
+        .key("stream")
+        .truth(call->kin->stream);
     jot.key("messages").list().open().key("role").text("user").key("content").text(call->prompt).shut().unlist().shut();
     std::string const body = jot.take();
     std::string const door = doors[dice.below(doors.size())];
@@ -166,7 +177,8 @@
       }
     };
     item->wire.on_end = [item](Caller::End end) {
-      if (end == Caller::End::unopened || item->wire.status == 0) return item->host->lost(item, end != Caller::End::unopened);
+      if (end == Caller::End::unopened || item->wire.status == 0)
+        return item->host->lost(item, end != Caller::End::unopened);
       item->host->over(*item, end == Caller::End::whole, item->wire.status == 200);
     };
     item->wire.post(door, "/v1/chat/completions", body);
@@ -197,7 +209,8 @@
       simdjson::dom::parser parser;
       simdjson::dom::element root;
       std::string_view content;
-      if (parser.parse(simdjson::padded_string(text)).get(root) || root["choices"].at(0)["delta"]["content"].get_string().get(content)) {
+      if (parser.parse(simdjson::padded_string(text)).get(root) ||
+          root["choices"].at(0)["delta"]["content"].get_string().get(content)) {
         fault("N4", note.tag + ": a piece that is none");
         continue;
       }
@@ -215,7 +228,8 @@
     if (tag != note.tag) fault("N4", note.tag + " got a piece of " + tag);
     if (note.run.empty()) note.run = run;
     if (note.run != run) fault("N3", note.tag + " joins " + note.run + " and " + run);
-    if (at != item.seen) fault("N3", note.tag + " got piece " + std::to_string(at) + " for " + std::to_string(item.seen));
+    if (at != item.seen)
+      fault("N3", note.tag + " got piece " + std::to_string(at) + " for " + std::to_string(item.seen));
     ++item.seen;
   }
 
@@ -228,11 +242,13 @@
       simdjson::dom::element root;
       std::string_view content;
       std::string const want = std::to_string(item.call->kin->pieces);
-      if (parser.parse(simdjson::padded_string(item.whole)).get(root) || root["choices"].at(0)["message"]["content"].get_string().get(content)) {
+      if (parser.parse(simdjson::padded_string(item.whole)).get(root) ||
+          root["choices"].at(0)["message"]["content"].get_string().get(content)) {
         fault("N4", note.tag + ": an answer that is none");
       } else {
         std::string const text(content);
-        if (text.rfind(note.tag + "|", 0) != 0 || text.substr(text.rfind('|') + 1) != want) fault("N4", note.tag + " got " + text);
+        if (text.rfind(note.tag + "|", 0) != 0 || text.substr(text.rfind('|') + 1) != want)
+          fault("N4", note.tag + " got " + text);
         note.run = text.substr(note.tag.size() + 1, text.rfind('|') - note.tag.size() - 1);
       }
       note.told = "done";
@@ -241,7 +257,8 @@
       return finish(&item);
     }
     if (good && item.call->kin->stream && whole && item.done && !item.error) {
-      if (item.seen != item.call->kin->pieces) fault("N3", note.tag + " looks finished after " + std::to_string(item.seen));
+      if (item.seen != item.call->kin->pieces)
+        fault("N3", note.tag + " looks finished after " + std::to_string(item.seen));
       note.told = "done";
       ++done;
       return finish(&item);
@@ -255,7 +272,8 @@
     simdjson::dom::element root;
     std::string_view ran;
     std::string_view kind;
-    if (item.whole.empty() || parser.parse(simdjson::padded_string(item.whole)).get(root) || root["error"]["ran"].get_string().get(ran) || root["error"]["kind"].get_string().get(kind))
+    if (item.whole.empty() || parser.parse(simdjson::padded_string(item.whole)).get(root) ||
+        root["error"]["ran"].get_string().get(ran) || root["error"]["kind"].get_string().get(kind))
       return lost(&item, true);
     note.told = ran;
     ++answers[std::string(kind)];
@@ -339,13 +357,42 @@
       if (note.told == "yes" && begun == 0) fault("N4", note.tag + " was told that it ran, and no worker began it");
     }
     Jot jot;
-    jot.open().key("calls").number(static_cast<std::int64_t>(calls)).key("attempts").number(static_cast<std::int64_t>(attempts.size()));
-    jot.key("done").number(done).key("refused").number(refused).key("failed").number(failed).key("lost").number(lost_calls).key("unanswered").number(open);
+    jot.open()
+        .key("calls")
+        .number(static_cast<std::int64_t>(calls))
+        .key("attempts")
+        .number(static_cast<std::int64_t>(attempts.size()));
+    jot.key("done")
+        .number(done)
+        .key("refused")
+        .number(refused)
+        .key("failed")
+        .number(failed)
+        .key("lost")
+        .number(lost_calls)
+        .key("unanswered")
+        .number(open);
     jot.key("retried").number(retried).key("runs").number(static_cast<std::int64_t>(runs));
-    jot.key("first_token_us").open().key("p50").number(first_token.at(0.5)).key("p99").number(first_token.at(0.99)).key("max").number(first_token.at(1)).shut();
+    jot.key("first_token_us")
+        .open()
+        .key("p50")
+        .number(first_token.at(0.5))
+        .key("p99")
+        .number(first_token.at(0.99))
+        .key("max")
+        .number(first_token.at(1))
+        .shut();
     jot.key("whole_us").open().key("p50").number(whole_time.at(0.5)).key("p99").number(whole_time.at(0.99)).shut();
     jot.key("refusals").number(static_cast<std::int64_t>(refusal.all.size()));
-    jot.key("refusal_us").open().key("p50").number(refusal.at(0.5)).key("p99").number(refusal.at(0.99)).key("max").number(refusal.at(1)).shut();
+    jot.key("refusal_us")
+        .open()
+        .key("p50")
+        .number(refusal.at(0.5))
+        .key("p99")
+        .number(refusal.at(0.99))
+        .key("max")
+        .number(refusal.at(1))
+        .shut();
     jot.key("answers").open();
     for (std::pair<std::string const, int> const& item : answers) jot.key(item.first).number(item.second);
     jot.shut().key("faults").open();
@@ -385,9 +432,12 @@
 int run(int argc, char** argv) {
   Plan plan;
   options::options_description flags("chorus: callers who judge every answer");
-  flags.add_options()("shape", options::value(&plan.shape), "coop or utility")("entries", options::value(&plan.entries), "a file of IP:port lines, read again as it changes")(
-      "books", options::value(&plan.books), "the folder of the workers' books")("out", options::value(&plan.out), "a file for the report")("rate", options::value(&plan.rate), "requests a second")(
-      "seconds", options::value(&plan.seconds))("hot", options::value(&plan.hot), "the share of one hot opening")("seed", options::value(&plan.seed))("help", "");
+  flags.add_options()("shape", options::value(&plan.shape), "coop or utility")(
+      "entries", options::value(&plan.entries), "a file of IP:port lines, read again as it changes")(
+      "books", options::value(&plan.books), "the folder of the workers' books")("out", options::value(&plan.out),
+                                                                                "a file for the report")(
+      "rate", options::value(&plan.rate), "requests a second")("seconds", options::value(&plan.seconds))(
+      "hot", options::value(&plan.hot), "the share of one hot opening")("seed", options::value(&plan.seed))("help", "");
   try {
     options::variables_map map;
     options::store(options::parse_command_line(argc, argv, flags), map);
@@ -400,7 +450,8 @@
     std::fprintf(stderr, "chorus: %s\n", bad.what());
     return 2;
   }
-  if (shape_of(plan.shape) == nullptr || plan.entries.empty() || plan.books.empty() || plan.rate <= 0 || plan.rate > 2000 || plan.seconds <= 0 || plan.seconds > 900) {
+  if (shape_of(plan.shape) == nullptr || plan.entries.empty() || plan.books.empty() || plan.rate <= 0 ||
+      plan.rate > 2000 || plan.seconds <= 0 || plan.seconds > 900) {
     std::fprintf(stderr, "chorus: shape, entries and books are needed; rate up to 2000; seconds up to 900\n");
     return 2;
   }
--- a/proof/common/caller.h
+++ b/proof/common/caller.h
@@ -35,7 +35,9 @@
     std::string host;
     std::uint16_t port = 0;
     split_address(address, host, port);
-    out = "POST " + path + " HTTP/1.1\r\nHost: " + address + "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    out = "POST " + path + " HTTP/1.1\r\nHost: " + address +
+          "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) +
+          "\r\n\r\n" + body;
     GSocketClient* const client = g_socket_client_new();
     g_socket_client_set_enable_proxy(client, FALSE);
     g_socket_client_set_timeout(client, 2);
@@ -49,14 +51,19 @@
     self.link = g_socket_client_connect_finish(G_SOCKET_CLIENT(source), result, nullptr);
     if (self.link == nullptr) return self.on_end(End::unopened);
     g_socket_set_timeout(g_socket_connection_get_socket(self.link), 0);
-    g_output_stream_write_all_async(g_io_stream_get_output_stream(G_IO_STREAM(self.link)), self.out.data(), self.out.size(), G_PRIORITY_DEFAULT, self.stop, on_sent, &self);
+    g_output_stream_write_all_async(g_io_stream_get_output_stream(G_IO_STREAM(self.link)), self.out.data(),
+                                    self.out.size(), G_PRIORITY_DEFAULT, self.stop, on_sent, &self);
   }
   static void on_sent(GObject* source, GAsyncResult* result, gpointer data) {
     Caller& self = *static_cast<Caller*>(data);
-    if (!g_output_stream_write_all_finish(G_OUTPUT_STREAM(source), result, nullptr, nullptr)) return self.on_end(End::cut);
+    if (!g_output_stream_write_all_finish(G_OUTPUT_STREAM(source), result, nullptr, nullptr))
+      return self.on_end(End::cut);
     self.more();
   }
-  void more() { g_input_stream_read_async(g_io_stream_get_input_stream(G_IO_STREAM(link)), room, sizeof room, G_PRIORITY_DEFAULT, stop, on_read, this); }
+  void more() {
+    g_input_stream_read_async(g_io_stream_get_input_stream(G_IO_STREAM(link)), room, sizeof room, G_PRIORITY_DEFAULT,
+                              stop, on_read, this);
+  }
   static void on_read(GObject* source, GAsyncResult* result, gpointer data) {
     Caller& self = *static_cast<Caller*>(data);
     gssize const size = g_input_stream_read_finish(G_INPUT_STREAM(source), result, nullptr);
--- a/proof/common/shapes.h
+++ b/proof/common/shapes.h
@@ -29,10 +29,24 @@
 };
 
 inline Shape const* shape_of(std::string const& name) {
-  static Shape const coop{"coop", {"a", "b", "c", "d"}, 4, 7, 18, 8,
-      {{"drafts", true, false, 40, 6144, 16, 300, 3}, {"captions", false, false, 6, 3072, 10, 200, 3}, {"live", true, true, 10, 2048, 24, 150, 4}}};
-  static Shape const utility{"utility", {"a", "b", "c"}, 3, 9, 18, 8,
-      {{"season", true, false, 50, 8192, 10, 400, 2}, {"certs", false, false, 8, 2048, 12, 200, 4}, {"daily", true, true, 14, 4096, 20, 200, 4}}};
+  static Shape const coop{"coop",
+                          {"a", "b", "c", "d"},
+                          4,
+                          7,
+                          18,
+                          8,
+                          {{"drafts", true, false, 40, 6144, 16, 300, 3},
+                           {"captions", false, false, 6, 3072, 10, 200, 3},
+                           {"live", true, true, 10, 2048, 24, 150, 4}}};
+  static Shape const utility{"utility",
+                             {"a", "b", "c"},
+                             3,
+                             9,
+                             18,
+                             8,
+                             {{"season", true, false, 50, 8192, 10, 400, 2},
+                              {"certs", false, false, 8, 2048, 12, 200, 4},
+                              {"daily", true, true, 14, 4096, 20, 200, 4}}};
   if (name == "coop") return &coop;
   if (name == "utility") return &utility;
   return nullptr;
@@ -42,23 +56,29 @@
 inline std::string description_of(Shape const& shape, int turn) {
   std::string const wait = std::to_string(2000 + turn % 50);
   std::string out = "{\"format\":1,\n \"locality_ms\":60,\n \"pools\":[\n";
-  out += "  {\"name\":\"main\",\"model\":\"tribute\",\"slots\":60,\"cold_per_second\":" + std::to_string(shape.cold) + ",\"cold_ms\":5000,\"cache_blocks\":2000,\"block_us\":3000,\"service_ms\":1200},\n";
-  out += "  {\"name\":\"press\",\"model\":\"tribute\",\"slots\":60,\"cold_per_second\":" + std::to_string(shape.cold) + ",\"cold_ms\":5000,\"cache_blocks\":2000,\"block_us\":3000,\"service_ms\":800}],\n \"lanes\":[\n";
+  out += "  {\"name\":\"main\",\"model\":\"tribute\",\"slots\":60,\"cold_per_second\":" + std::to_string(shape.cold) +
+         ",\"cold_ms\":5000,\"cache_blocks\":2000,\"block_us\":3000,\"service_ms\":1200},\n";
+  out += "  {\"name\":\"press\",\"model\":\"tribute\",\"slots\":60,\"cold_per_second\":" + std::to_string(shape.cold) +
+         ",\"cold_ms\":5000,\"cache_blocks\":2000,\"block_us\":3000,\"service_ms\":800}],\n \"lanes\":[\n";
   bool first = true;
   int urgency = 3;
   for (Kin const& kin : shape.kinds) {
     if (!first) out += ",\n";
     first = false;
-    std::string const pools = kin.opening >= 6000 ? "pool main; pool press when demand < 70%" : "pool press when demand < 90%; pool main";
-    out += "  {\"name\":\"" + kin.lane + "\",\"binding\":\"match model = \\\"tribute\\\" and user starts \\\"" + kin.lane + "\\\"; " + pools + "\",";
-    out += "\"policy\":\"wait " + wait + "ms; urgency " + std::to_string(urgency) + "; repeat " + (kin.safe ? "safe" : "never") + "; backlog 200; tries 2; answer 10s; stall 8s\"}";
+    std::string const pools =
+        kin.opening >= 6000 ? "pool main; pool press when demand < 70%" : "pool press when demand < 90%; pool main";
+    out += "  {\"name\":\"" + kin.lane + "\",\"binding\":\"match model = \\\"tribute\\\" and user starts \\\"" +
+           kin.lane + "\\\"; " + pools + "\",";
+    out += "\"policy\":\"wait " + wait + "ms; urgency " + std::to_string(urgency) + "; repeat " +
+           (kin.safe ? "safe" : "never") + "; backlog 200; tries 2; answer 10s; stall 8s\"}";
     urgency += 2;
   }
   return out + "]}\n";
 }
 
 inline std::string filler(std::uint64_t seed, int size) {
-  static char const* const words[] = {"roster", "press", "harvest", "tribute", "season", "page", "vine", "weigh", "school", "caption", "editor", "cellar", "dusk", "bridge", "style", "guide"};
+  static char const* const words[] = {"roster", "press",   "harvest", "tribute", "season", "page",   "vine",  "weigh",
+                                      "school", "caption", "editor",  "cellar",  "dusk",   "bridge", "style", "guide"};
   Dice dice(seed);
   std::string out;
   while (static_cast<int>(out.size()) < size) {
--- a/proof/mimic/main.cc
+++ b/proof/mimic/main.cc
@@ -97,7 +97,8 @@
 
   void write(char const* what, std::string const& tag, std::int64_t n) {
     if (book == nullptr) return;
-    std::fprintf(book, "%s %s %lld %lld %s\n", what, tag.empty() ? "-" : tag.c_str(), static_cast<long long>(now()), static_cast<long long>(n), plan.id.c_str());
+    std::fprintf(book, "%s %s %lld %lld %s\n", what, tag.empty() ? "-" : tag.c_str(), static_cast<long long>(now()),
+                 static_cast<long long>(n), plan.id.c_str());
     std::fflush(book);
   }
 
@@ -125,18 +126,29 @@
         queued = host.history.front().second.second;
       }
       Jot jot;
-      jot.open().key("incarnation").number(static_cast<std::int64_t>(host.plan.incarnation)).key("active").number(static_cast<std::int64_t>(active));
-      jot.key("queued").number(static_cast<std::int64_t>(queued)).key("awake_ms").number((now() - host.woke) / 1000).shut();
+      jot.open()
+          .key("incarnation")
+          .number(static_cast<std::int64_t>(host.plan.incarnation))
+          .key("active")
+          .number(static_cast<std::int64_t>(active));
+      jot.key("queued")
+          .number(static_cast<std::int64_t>(queued))
+          .key("awake_ms")
+          .number((now() - host.woke) / 1000)
+          .shut();
       return reply(message, 200, "application/json", jot.take());
     }
     if (where == "/odd") {
-      char const* const kind = query == nullptr ? nullptr : static_cast<char const*>(g_hash_table_lookup(query, "kind"));
-      char const* const times = query == nullptr ? nullptr : static_cast<char const*>(g_hash_table_lookup(query, "times"));
+      char const* const kind =
+          query == nullptr ? nullptr : static_cast<char const*>(g_hash_table_lookup(query, "kind"));
+      char const* const times =
+          query == nullptr ? nullptr : static_cast<char const*>(g_hash_table_lookup(query, "times"));
       host.odd = kind == nullptr ? "" : kind;
       host.odd_left = times == nullptr ? 1 : std::atoi(times);
       return reply(message, 200, "application/json", "{}");
     }
-    if (where != "/v1/chat/completions" && where != "/v1/completions") return reply(message, 404, "application/json", "{}");
+    if (where != "/v1/chat/completions" && where != "/v1/completions")
+      return reply(message, 404, "application/json", "{}");
     host.take(message, where == "/v1/chat/completions");
   }
 
@@ -158,13 +170,15 @@
       return reply(message, odd_now == "429" ? 429 : 503, "application/json", "{}");
     }
     if (odd_now == "redirect") {
-      soup_message_headers_replace(soup_server_message_get_response_headers(message), "Location", ("http://" + plan.http + "/v1/completions").c_str());
+      soup_message_headers_replace(soup_server_message_get_response_headers(message), "Location",
+                                   ("http://" + plan.http + "/v1/completions").c_str());
       return reply(message, 307, "application/json", "{}");
     }
     Run* const run = new Run;
     run->host = this;
     run->message = SOUP_SERVER_MESSAGE(g_object_ref(message));
-    char const* const id = soup_message_headers_get_one(soup_server_message_get_request_headers(message), "X-Request-Id");
+    char const* const id =
+        soup_message_headers_get_one(soup_server_message_get_request_headers(message), "X-Request-Id");
     run->id = id == nullptr ? "none" : id;
     run->tag = ask.value().facts.user;
     run->path = ask.value().path;
@@ -202,7 +216,19 @@
     std::string const id = run.odd == "otherid" ? "somebody-else" : "chatcmpl-" + run.id;
     Jot jot;
     jot.open().key("id").text(id).key("object").text(chat_chunk ? "chat.completion.chunk" : "chat.completion");
-    jot.key("choices").list().open().key("index").number(0).key(chat_chunk ? "delta" : "message").open().key("content").text(content).shut().shut().unlist().shut();
+    jot.key("choices")
+        .list()
+        .open()
+        .key("index")
+        .number(0)
+        .key(chat_chunk ? "delta" : "message")
+        .open()
+        .key("content")
+        .text(content)
+        .shut()
+        .shut()
+        .unlist()
+        .shut();
     return jot.take();
   }
 
@@ -220,7 +246,8 @@
   }
 
   void piece(Run& run) {
-    std::string const content = run.tag + "|" + run.name + "|" + std::to_string(run.at) + "|" + std::to_string(run.pieces) + " ";
+    std::string const content =
+        run.tag + "|" + run.name + "|" + std::to_string(run.at) + "|" + std::to_string(run.pieces) + " ";
     if (!run.stream) {
       if (++run.at < run.pieces) {
         run.timer = g_timeout_add(static_cast<guint>(plan.piece / 1000), on_piece, &run);
@@ -328,10 +355,13 @@
 int run(int argc, char** argv) {
   Plan plan;
   options::options_description flags("mimic worker|platform: stands in for the outside");
-  flags.add_options()("sort", options::value(&plan.sort), "worker or platform")("http", options::value(&plan.http), "IP:port")("id", options::value(&plan.id))(
-      "ledger", options::value(&plan.ledger), "a file to which every run is written")("incarnation", options::value(&plan.incarnation))("slots", options::value(&plan.slots))(
-      "blocks", options::value(&plan.blocks))("block-us", options::value(&plan.block))("piece-us", options::value(&plan.piece))(
-      "report-us", options::value(&plan.report), "how often load is taken")("lag-us", options::value(&plan.lag), "how late it is told")("help", "");
+  flags.add_options()("sort", options::value(&plan.sort), "worker or platform")(
+      "http", options::value(&plan.http), "IP:port")("id", options::value(&plan.id))(
+      "ledger", options::value(&plan.ledger), "a file to which every run is written")(
+      "incarnation", options::value(&plan.incarnation))("slots", options::value(&plan.slots))(
+      "blocks", options::value(&plan.blocks))("block-us", options::value(&plan.block))(
+      "piece-us", options::value(&plan.piece))("report-us", options::value(&plan.report), "how often load is taken")(
+      "lag-us", options::value(&plan.lag), "how late it is told")("help", "");
   options::positional_options_description spots;
   spots.add("sort", 1);
   try {
--- a/proof/scene/main.cc
+++ b/proof/scene/main.cc
@@ -53,7 +53,7 @@
   pid_t pid = 0;
   bool frozen = false;
   bool cut = false;
-  int code = -1;  // as it ended
+  int code = -1;         // as it ended
   Micros off_until = 0;  // bounds on changes do not hold before it was heard again
   std::uint64_t serial = 0;
   std::uint64_t first_sends = 0, resends = 0, asked = 0, hit = 0, far = 0;  // of lives that ended
@@ -63,15 +63,19 @@
 
 class Scene {
  public:
-  Scene(Plan plan_, Shape const& shape_, std::vector<Step> steps_) : plan(std::move(plan_)), shape(shape_), steps(std::move(steps_)), cast(cast_of(shape)) {}
+  Scene(Plan plan_, Shape const& shape_, std::vector<Step> steps_)
+      : plan(std::move(plan_)), shape(shape_), steps(std::move(steps_)), cast(cast_of(shape)) {}
 
   int run() {
     loop = g_main_loop_new(nullptr, FALSE);
-    session = soup_session_new_with_options("max-conns", 512, "max-conns-per-host", 16, "timeout", 4, "proxy-resolver", nullptr, nullptr);
+    session = soup_session_new_with_options("max-conns", 512, "max-conns-per-host", 16, "timeout", 4, "proxy-resolver",
+                                            nullptr, nullptr);
     std::filesystem::create_directories(plan.folder + "/books");
     std::filesystem::create_directories(plan.folder + "/logs");
-    for (std::filesystem::directory_entry const& item : std::filesystem::directory_iterator(plan.folder + "/books")) std::filesystem::remove(item.path());
-    for (std::filesystem::directory_entry const& item : std::filesystem::directory_iterator(plan.folder + "/logs")) std::filesystem::remove(item.path());
+    for (std::filesystem::directory_entry const& item : std::filesystem::directory_iterator(plan.folder + "/books"))
+      std::filesystem::remove(item.path());
+    for (std::filesystem::directory_entry const& item : std::filesystem::directory_iterator(plan.folder + "/logs"))
+      std::filesystem::remove(item.path());
     for (std::string const& name : cast.keepers) std::filesystem::remove_all(plan.folder + "/" + name);
     build();
     for (std::pair<std::string const, Actor>& item : actors) start(item.second);
@@ -79,7 +83,8 @@
     if (!until(seconds(25), [this] { return all_ready(); })) return fail_now("the fleet was not ready in time");
     std::printf("ready after %lld ms\n", static_cast<long long>((now() - launched) / 1000));
     if (!apply("p1", 1)) return fail_now("the first description was not taken");
-    if (!until(seconds(5), [this] { return all_at(serial_yes); })) return fail_now("the first description was not brought to all");
+    if (!until(seconds(5), [this] { return all_at(serial_yes); }))
+      return fail_now("the first description was not brought to all");
     slowest_force = now() - accepted.begin()->second;
     settled.insert(accepted.begin()->first);
     // Workers that have just woken are cold; what is measured begins when they are warm.
@@ -100,7 +105,9 @@
  private:
   // --- the fleet
 
-  std::string number(int group, int i) const { return "127." + std::to_string(plan.net) + "." + std::to_string(group) + "." + std::to_string(i); }
+  std::string number(int group, int i) const {
+    return "127." + std::to_string(plan.net) + "." + std::to_string(group) + "." + std::to_string(i);
+  }
 
   void build() {
     std::string seeds;
@@ -127,16 +134,19 @@
     i = 0;
     for (std::string const& name : cast.keepers) {
       ++i;
-      node(name, number(2, i), shape.zones[static_cast<std::size_t>(i - 1) % shape.zones.size()], seeds, {"--data", plan.folder + "/" + name, "--founders", founders});
+      node(name, number(2, i), shape.zones[static_cast<std::size_t>(i - 1) % shape.zones.size()], seeds,
+           {"--data", plan.folder + "/" + name, "--founders", founders});
     }
     i = 0;
     for (std::string const& name : cast.passages) {
       ++i;
-      node(name, number(1, i), shape.zones[static_cast<std::size_t>(i - 1) % shape.zones.size()], seeds, {"--platform", platform});
+      node(name, number(1, i), shape.zones[static_cast<std::size_t>(i - 1) % shape.zones.size()], seeds,
+           {"--platform", platform});
     }
   }
 
-  void node(std::string const& name, std::string const& address, std::string const& zone, std::string const& seeds, std::vector<std::string> const& more) {
+  void node(std::string const& name, std::string const& address, std::string const& zone, std::string const& seeds,
+            std::vector<std::string> const& more) {
     Actor actor;
     actor.name = name;
     actor.address = address;
@@ -144,7 +154,8 @@
     // Settings come from a file, so that a reload has something to read.
     std::string const file = plan.folder + "/" + name + ".conf";
     std::ofstream conf(file);
-    conf << "name=" << name << "\ncluster=scene" << plan.net << "\nzone=" << zone << "\nmesh=" << address << ":7000\nhttp=" << address << ":7080\nseeds=" << seeds << "\nlog=" << plan.folder << "/logs/" << name
+    conf << "name=" << name << "\ncluster=scene" << plan.net << "\nzone=" << zone << "\nmesh=" << address
+         << ":7000\nhttp=" << address << ":7080\nseeds=" << seeds << "\nlog=" << plan.folder << "/logs/" << name
          << ".log\nfaults=true\n";
     for (std::size_t i = 0; i + 1 < more.size(); i += 2) conf << more[i].substr(2) << "=" << more[i + 1] << "\n";
     actor.args = {name[0] == 'k' ? "accord" : "passage", "--settings", file};
@@ -153,7 +164,13 @@
 
   void worker_args(Actor& actor) {
     Row const& row = rows[actor.name];
-    actor.args = {"mimic", "worker", "--http", row.address, "--id", actor.name, "--incarnation", std::to_string(row.incarnation), "--ledger", plan.folder + "/books/" + actor.name + ".book", "--blocks", "2000", "--slots", std::to_string(plan.slots)};
+    actor.args = {"mimic",         "worker",
+                  "--http",        row.address,
+                  "--id",          actor.name,
+                  "--incarnation", std::to_string(row.incarnation),
+                  "--ledger",      plan.folder + "/books/" + actor.name + ".book",
+                  "--blocks",      "2000",
+                  "--slots",       std::to_string(plan.slots)};
   }
 
   void start(Actor& actor) {
@@ -198,8 +215,22 @@
     jot.open().key("workers").list();
     for (std::pair<std::string const, Row> const& item : rows) {
       if (item.second.state == "gone") continue;
-      jot.open().key("id").text(item.first).key("address").text(item.second.address).key("zone").text(item.second.zone).key("pool").text(item.second.pool);
-      jot.key("incarnation").number(item.second.incarnation).key("state").text(item.second.state).key("slots").number(plan.slots).shut();
+      jot.open()
+          .key("id")
+          .text(item.first)
+          .key("address")
+          .text(item.second.address)
+          .key("zone")
+          .text(item.second.zone)
+          .key("pool")
+          .text(item.second.pool);
+      jot.key("incarnation")
+          .number(item.second.incarnation)
+          .key("state")
+          .text(item.second.state)
+          .key("slots")
+          .number(plan.slots)
+          .shut();
     }
     jot.unlist().shut();
     list_text = jot.take();
@@ -224,7 +255,8 @@
   };
 
   // Asks and runs the loop until the answer has come; bounded by the session's timeout.
-  Got fetch(char const* method, std::string const& address, std::string const& path, std::string const& body, std::string const& match, bool* good = nullptr) {
+  Got fetch(char const* method, std::string const& address, std::string const& path, std::string const& body,
+            std::string const& match, bool* good = nullptr) {
     Got out;
     bool over = false;
     ask(method, address, path, body, match, [&out, &over](Got const& got) {
@@ -240,10 +272,12 @@
     SoupMessage* message;
     std::function<void(Got const&)> done;
   };
-  void ask(char const* method, std::string const& address, std::string const& path, std::string const& body, std::string const& match, std::function<void(Got const&)> done) {
+  void ask(char const* method, std::string const& address, std::string const& path, std::string const& body,
+           std::string const& match, std::function<void(Got const&)> done) {
     SoupMessage* const message = soup_message_new(method, ("http://" + address + path).c_str());
     soup_message_set_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
-    if (!match.empty()) soup_message_headers_replace(soup_message_get_request_headers(message), "If-Match", match.c_str());
+    if (!match.empty())
+      soup_message_headers_replace(soup_message_get_request_headers(message), "If-Match", match.c_str());
     if (std::string(method) != "GET") {
       GBytes* const bytes = g_bytes_new(body.data(), body.size());
       soup_message_set_request_body_from_bytes(message, "application/json", bytes);
@@ -261,7 +295,8 @@
             if (raw != nullptr) got.body.assign(raw, size);
             g_bytes_unref(bytes);
             got.status = soup_message_get_status(item->message);
-            char const* const serial = soup_message_headers_get_one(soup_message_get_response_headers(item->message), "X-Pipit-Serial");
+            char const* const serial =
+                soup_message_headers_get_one(soup_message_get_response_headers(item->message), "X-Pipit-Serial");
             if (serial != nullptr) got.serial = serial;
           }
           g_object_unref(item->message);
@@ -308,7 +343,9 @@
   bool workers_known(Actor const& actor) {
     Got const got = fetch("GET", actor.address + ":7080", "/v1/status", "", "");
     std::size_t n = 0;
-    for (std::size_t at = got.body.find("\"dark\":false"); at != std::string::npos; at = got.body.find("\"dark\":false", at + 1)) ++n;
+    for (std::size_t at = got.body.find("\"dark\":false"); at != std::string::npos;
+         at = got.body.find("\"dark\":false", at + 1))
+      ++n;
     return n >= static_cast<std::size_t>(shape.workers);
   }
 
@@ -343,7 +380,9 @@
     std::map<std::string, std::uint64_t>::const_iterator const serial = actor.last.find("pipit_serial");
     if (serial == actor.last.end()) return;
     // N7: a node never slips back to an older description while it lives.
-    if (serial->second < actor.serial) fault("N7", actor.name + " went from serial " + std::to_string(actor.serial) + " to " + std::to_string(serial->second));
+    if (serial->second < actor.serial)
+      fault("N7",
+            actor.name + " went from serial " + std::to_string(actor.serial) + " to " + std::to_string(serial->second));
     actor.serial = serial->second;
   }
 
@@ -427,7 +466,8 @@
   double clock() const { return static_cast<double>(now() - begin) / 1e6; }
 
   void arm(std::string const& at, int point, std::string const& arg, int times = 0) {
-    fetch("POST", actors[at].address + ":7080", "/faults?point=" + std::to_string(point) + "&arg=" + arg + "&times=" + std::to_string(times), "", "");
+    fetch("POST", actors[at].address + ":7080",
+          "/faults?point=" + std::to_string(point) + "&arg=" + arg + "&times=" + std::to_string(times), "", "");
   }
 
   static std::vector<std::string> names(std::string const& text) {
@@ -491,7 +531,8 @@
         actor.second.cut = false;
         actor.second.off_until = now() + seconds(3);
         if (actor.second.pid > 0)
-          for (int const point : {1, 2}) fetch("DELETE", actor.second.address + ":7080", "/faults?point=" + std::to_string(point), "", "");
+          for (int const point : {1, 2})
+            fetch("DELETE", actor.second.address + ":7080", "/faults?point=" + std::to_string(point), "", "");
       }
     if (verb == "blank") {
       Actor& actor = actors[a];
@@ -513,8 +554,10 @@
       Got const got = fetch("POST", actors[door()].address + ":7080", "/v1/zones/" + a + "/empty", "", "");
       std::printf("%6.1f empty %s answered %u %s\n", clock(), a.c_str(), got.status, got.body.c_str());
       if (got.status == 200) emptied[a] = {now(), 0};
-      if (got.status == 200 || got.status == 202) note_change(Got{200, got.body, "", false}, "");
-      else resync();
+      if (got.status == 200 || got.status == 202)
+        note_change(Got{200, got.body, "", false}, "");
+      else
+        resync();
     }
     if (verb == "refill") {
       if (emptied.count(a) && emptied[a].second == 0) emptied[a].second = now();
@@ -527,7 +570,8 @@
     if (verb == "drill" || verb == "tooth" || verb == "broken") {
       std::string const name = "ordeal" + std::to_string(++drills);
       actors[name].name = name;
-      actors[name].args = {"ordeal", "--node", actors[door()].address + ":7080", "--zone", a, "--hold", "8", "--most", verb == "tooth" ? "0.001" : "0.8"};
+      actors[name].args = {"ordeal", "--node", actors[door()].address + ":7080", "--zone", a, "--hold",
+                           "8",      "--most", verb == "tooth" ? "0.001" : "0.8"};
       wanted[name] = verb == "drill" ? 0 : verb == "tooth" ? 4 : 3;
       start(actors[name]);
       if (verb == "broken") {
@@ -609,10 +653,11 @@
     int over = 0;
     std::string const match = std::to_string(expected);
     for (int i = 0; i < 2; ++i)
-      ask("PUT", field[i == 0 ? 0 : field.size() - 1]->address + ":7080", "/v1/description", texts[i], match, [&got, &over, i](Got const& item) {
-        got[i] = item;
-        ++over;
-      });
+      ask("PUT", field[i == 0 ? 0 : field.size() - 1]->address + ":7080", "/v1/description", texts[i], match,
+          [&got, &over, i](Got const& item) {
+            got[i] = item;
+            ++over;
+          });
     while (over < 2) g_main_context_iteration(nullptr, TRUE);
     std::printf("%6.1f rivals were answered %u and %u\n", clock(), got[0].status, got[1].status);
     if (got[0].status == 200 && got[1].status == 200) fault("N8", "both of two rivals were told yes");
@@ -622,13 +667,15 @@
     if (got[0].status != 200 && got[1].status != 200) resync();
   }
 
-  // Bad input of every kind, and workers that answer oddly: each has its honest answer, and no bad input reaches a worker.
+  // Bad input of every kind, and workers that answer oddly: each has its honest answer, and no bad input reaches a
+  // worker.
   void probe() {
     std::string const http = actors["p2"].address + ":7080";
     std::string const tag = "probe-bad";
     auto const expect = [this](std::string const& what, Got const& got, unsigned status, std::string const& words) {
       ++probes;
-      if (got.status != status || got.body.find(words) == std::string::npos) fault("probe", what + " was answered " + std::to_string(got.status) + " " + got.body.substr(0, 200));
+      if (got.status != status || got.body.find(words) == std::string::npos)
+        fault("probe", what + " was answered " + std::to_string(got.status) + " " + got.body.substr(0, 200));
     };
     std::string const path = "/v1/chat/completions";
     std::string const turns = "\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]";
@@ -636,9 +683,13 @@
     expect("no object", fetch("POST", http, path, "[]", ""), 400, "bad_request");
     expect("no model", fetch("POST", http, path, "{" + turns + "}", ""), 400, "$.model");
     expect("no messages", fetch("POST", http, path, "{\"model\":\"tribute\"}", ""), 400, "$.messages");
-    expect("odd stream", fetch("POST", http, path, "{\"model\":\"tribute\",\"stream\":3," + turns + "}", ""), 400, "$.stream");
-    expect("unknown model", fetch("POST", http, path, "{\"model\":\"none\",\"user\":\"" + tag + "\"," + turns + "}", ""), 404, "unknown_model");
-    expect("no lane", fetch("POST", http, path, "{\"model\":\"tribute\",\"user\":\"" + tag + "\"," + turns + "}", ""), 404, "unknown_lane");
+    expect("odd stream", fetch("POST", http, path, "{\"model\":\"tribute\",\"stream\":3," + turns + "}", ""), 400,
+           "$.stream");
+    expect("unknown model",
+           fetch("POST", http, path, "{\"model\":\"none\",\"user\":\"" + tag + "\"," + turns + "}", ""), 404,
+           "unknown_model");
+    expect("no lane", fetch("POST", http, path, "{\"model\":\"tribute\",\"user\":\"" + tag + "\"," + turns + "}", ""),
+           404, "unknown_lane");
     expect("too large", fetch("POST", http, path, std::string(5u << 20, 'x'), ""), 413, "too_large");
     expect("a read", fetch("GET", http, path, "", ""), 405, "bad_method");
     expect("a keeper", fetch("POST", actors["k1"].address + ":7080", path, "{}", ""), 404, "not_found");
@@ -646,9 +697,14 @@
     std::string const text = description_of(shape, 1);
     expect("no serial", fetch("PUT", http, "/v1/description", text, ""), 400, "If-Match");
     expect("an old serial", fetch("PUT", http, "/v1/description", text, "0"), 409, "the present serial is 1");
-    expect("broken text", fetch("PUT", http, "/v1/description", "{\"format\":1,\n\"pools\":[}", "1"), 400, "line 2, column 10");
-    expect("a dangling name", fetch("PUT", http, "/v1/description", "{\"format\":1,\"pools\":[],\"lanes\":[{\"name\":\"l\",\"binding\":\"match always; pool q\"}]}", "1"), 400, "$.lanes[0].binding");
-    expect("a large text", fetch("PUT", http, "/v1/description", std::string((2u << 20) + 100, ' '), "1"), 413, "too_large");
+    expect("broken text", fetch("PUT", http, "/v1/description", "{\"format\":1,\n\"pools\":[}", "1"), 400,
+           "line 2, column 10");
+    expect("a dangling name",
+           fetch("PUT", http, "/v1/description",
+                 "{\"format\":1,\"pools\":[],\"lanes\":[{\"name\":\"l\",\"binding\":\"match always; pool q\"}]}", "1"),
+           400, "$.lanes[0].binding");
+    expect("a large text", fetch("PUT", http, "/v1/description", std::string((2u << 20) + 100, ' '), "1"), 413,
+           "too_large");
     expect("an unknown zone", fetch("POST", http, "/v1/zones/moon/empty", "", ""), 404, "unknown_zone");
     expect("an unknown change", fetch("GET", http, "/v1/changes/none", "", ""), 404, "unknown_change");
     struct Odd {
@@ -657,18 +713,25 @@
       unsigned status;
       char const* words;
     };
-    Odd const odds[] = {
-        {"type", false, 502, "worker_wrong"}, {"type", true, 502, "worker_wrong"}, {"torn", false, 502, "\"ran\":\"yes\""}, {"torn", true, 200, "answer_torn"},
-        {"noend", true, 200, "answer_torn"}, {"otherid", false, 502, "worker_wrong"}, {"otherid", true, 502, "worker_wrong"}, {"redirect", false, 502, "worker_wrong"},
-        {"429", false, 503, "\"ran\":\"no\""}, {"503after", true, 503, "\"ran\":\"no\""}, {"503", false, 502, "\"ran\":\"unknown\""}, {"500", true, 502, "\"ran\":\"unknown\""}};
+    Odd const odds[] = {{"type", false, 502, "worker_wrong"},       {"type", true, 502, "worker_wrong"},
+                        {"torn", false, 502, "\"ran\":\"yes\""},    {"torn", true, 200, "answer_torn"},
+                        {"noend", true, 200, "answer_torn"},        {"otherid", false, 502, "worker_wrong"},
+                        {"otherid", true, 502, "worker_wrong"},     {"redirect", false, 502, "worker_wrong"},
+                        {"429", false, 503, "\"ran\":\"no\""},      {"503after", true, 503, "\"ran\":\"no\""},
+                        {"503", false, 502, "\"ran\":\"unknown\""}, {"500", true, 502, "\"ran\":\"unknown\""}};
     for (Odd const& odd : odds) {
-      for (std::pair<std::string const, Row> const& row : rows) fetch("GET", row.second.address, std::string("/odd?times=1&kind=") + odd.kind, "", "");
+      for (std::pair<std::string const, Row> const& row : rows)
+        fetch("GET", row.second.address, std::string("/odd?times=1&kind=") + odd.kind, "", "");
       std::string const lane = shape.kinds[odd.stream ? 0 : 1].lane;
-      Got const got = fetch("POST", http, path, "{\"model\":\"tribute\",\"user\":\"" + lane + "-odd\",\"max_tokens\":4,\"stream\":" + (odd.stream ? "true" : "false") + "," + turns + "}", "");
+      Got const got = fetch("POST", http, path,
+                            "{\"model\":\"tribute\",\"user\":\"" + lane + "-odd\",\"max_tokens\":4,\"stream\":" +
+                                (odd.stream ? "true" : "false") + "," + turns + "}",
+                            "");
       // A broken stream begins with 200 and ends in an error event; that its body was cut is the callers' to judge.
       expect(std::string("odd ") + odd.kind, got, odd.status, odd.words);
     }
-    for (std::pair<std::string const, Row> const& row : rows) fetch("GET", row.second.address, "/odd?times=0&kind=", "", "");
+    for (std::pair<std::string const, Row> const& row : rows)
+      fetch("GET", row.second.address, "/odd?times=0&kind=", "", "");
     for (BookLine const& line : read_books(plan.folder + "/books"))
       if (line.tag.rfind(tag, 0) == 0) fault("probe", "bad input reached " + line.worker);
     std::printf("%d probes were answered\n", probes);
@@ -689,7 +752,23 @@
     begin = now();
     Actor callers;
     callers.name = "chorus";
-    callers.args = {"chorus", "--shape", shape.name, "--entries", plan.folder + "/doors", "--books", plan.folder + "/books", "--out", plan.folder + "/chorus.json", "--rate", std::to_string(plan.rate), "--seconds", std::to_string(plan.seconds), "--hot", std::to_string(plan.hot), "--seed", std::to_string(plan.seed)};
+    callers.args = {"chorus",
+                    "--shape",
+                    shape.name,
+                    "--entries",
+                    plan.folder + "/doors",
+                    "--books",
+                    plan.folder + "/books",
+                    "--out",
+                    plan.folder + "/chorus.json",
+                    "--rate",
+                    std::to_string(plan.rate),
+                    "--seconds",
+                    std::to_string(plan.seconds),
+                    "--hot",
+                    std::to_string(plan.hot),
+                    "--seed",
+                    std::to_string(plan.seed)};
     std::filesystem::remove(plan.folder + "/chorus.json");
     actors["chorus"] = callers;
     start(actors["chorus"]);
@@ -708,7 +787,8 @@
     until(seconds(900), [this] { return now() - begin >= static_cast<Micros>(plan.seconds * 1e6) + seconds(2); });
     for (std::pair<std::string const, Actor>& item : actors)
       if (item.second.frozen) step(Step{0, "wake", {item.first}});
-    ran_out = !until(static_cast<Micros>(plan.seconds * 1e6) + seconds(60), [this] { return actors["chorus"].pid == 0; });
+    ran_out =
+        !until(static_cast<Micros>(plan.seconds * 1e6) + seconds(60), [this] { return actors["chorus"].pid == 0; });
     g_source_remove(timer);
   }
 
@@ -735,9 +815,12 @@
     });
     bool known = read.body == text_yes;
     for (std::string const& text : unknown) known = known || read.body == text;
-    if (!back) fault("N9", "the description cannot be read");
-    else if (!known) fault("N9", "what is read is not what was accepted");
-    if (back && std::strtoull(read.serial.c_str(), nullptr, 10) < serial_yes) fault("N9", "what is read is older than what was accepted");
+    if (!back)
+      fault("N9", "the description cannot be read");
+    else if (!known)
+      fault("N9", "what is read is not what was accepted");
+    if (back && std::strtoull(read.serial.c_str(), nullptr, 10) < serial_yes)
+      fault("N9", "what is read is older than what was accepted");
 
     std::vector<BookLine> const lines = read_books(plan.folder + "/books");
     std::map<std::string, std::vector<BookLine>> by_worker;
@@ -758,18 +841,22 @@
           woke = line.at;
           starts.clear();
         }
-        if (line.what == 'E' && lost_back > 0 && line.at > lost_back && (first_back < 0 || line.at < first_back)) first_back = line.at;
+        if (line.what == 'E' && lost_back > 0 && line.at > lost_back && (first_back < 0 || line.at < first_back))
+          first_back = line.at;
         if (line.what != 'S') continue;
         if (marked.count(item.first) && marked[item.first].second == life) {
           Micros const after = line.at - marked[item.first].first;
           late_leave = std::max(late_leave, after);
-          if (after > seconds(3)) fault("N5", item.first + " got " + line.tag + " " + std::to_string(after / 1000) + " ms after its mark");
+          if (after > seconds(3))
+            fault("N5", item.first + " got " + line.tag + " " + std::to_string(after / 1000) + " ms after its mark");
         }
-        std::map<std::string, std::pair<Micros, Micros>>::const_iterator const zone = emptied.find(rows[item.first].zone);
+        std::map<std::string, std::pair<Micros, Micros>>::const_iterator const zone =
+            emptied.find(rows[item.first].zone);
         if (zone != emptied.end() && (zone->second.second == 0 || line.at < zone->second.second)) {
           Micros const after = line.at - zone->second.first;
           late_empty = std::max(late_empty, after);
-          if (after > seconds(5)) fault("N6", item.first + " got " + line.tag + " " + std::to_string(after / 1000) + " ms after the yes");
+          if (after > seconds(5))
+            fault("N6", item.first + " got " + line.tag + " " + std::to_string(after / 1000) + " ms after the yes");
         }
         // N11: in any one second of its first five.
         if (woke > begin && line.at - woke < seconds(5)) {
@@ -778,7 +865,8 @@
           for (Micros const at : starts)
             if (line.at - at < seconds(1)) ++n;
           most_cold = std::max(most_cold, n);
-          if (n > shape.cold) fault("N11", item.first + " got " + std::to_string(n) + " within a second of its cold start");
+          if (n > shape.cold)
+            fault("N11", item.first + " got " + std::to_string(n) + " within a second of its cold start");
         }
       }
     }
@@ -795,9 +883,12 @@
       hit += actor.hit;
       far += actor.far;
     }
-    if (static_cast<double>(again) > 0.2 * static_cast<double>(first) + 3.0 * shape.passages) fault("N10", std::to_string(again) + " re-sends for " + std::to_string(first) + " sends");
+    if (static_cast<double>(again) > 0.2 * static_cast<double>(first) + 3.0 * shape.passages)
+      fault("N10", std::to_string(again) + " re-sends for " + std::to_string(first) + " sends");
     for (std::pair<std::string const, int> const& item : wanted)
-      if (actors[item.first].pid != 0 || actors[item.first].code != item.second) fault("ordeal", item.first + " ended with " + std::to_string(actors[item.first].code) + " for " + std::to_string(item.second));
+      if (actors[item.first].pid != 0 || actors[item.first].code != item.second)
+        fault("ordeal", item.first + " ended with " + std::to_string(actors[item.first].code) + " for " +
+                            std::to_string(item.second));
     bool const full = lost_back > 0;
     if (full && (first_back < 0 || first_back - lost_back > seconds(12))) fault("N12", "service was not back in time");
     std::ifstream report(plan.folder + "/chorus.json");
@@ -807,14 +898,42 @@
     if (chorus.find("\"faults\":{}") == std::string::npos) fault("chorus", "the callers found faults");
     if (chorus.find("\"unanswered\":0,") == std::string::npos) fault("chorus", "calls were never answered");
     if (chorus.find("\"done\":0,") != std::string::npos) fault("chorus", "no traffic was seen");
-    if (plan.schedule == "stop" && chorus.find("\"lost\":0,") == std::string::npos) fault("N12", "a planned stop dropped work");
-    jot.open().key("shape").text(shape.name).key("schedule").text(plan.schedule).key("seed").number(static_cast<std::int64_t>(plan.seed));
-    jot.key("accepted").number(static_cast<std::int64_t>(accepted.size())).key("races").number(races).key("in_force_ms").number(slowest_force / 1000);
-    jot.key("last_after_mark_ms").number(late_leave / 1000).key("last_after_empty_ms").number(late_empty / 1000).key("cold_most").number(most_cold);
+    if (plan.schedule == "stop" && chorus.find("\"lost\":0,") == std::string::npos)
+      fault("N12", "a planned stop dropped work");
+    jot.open()
+        .key("shape")
+        .text(shape.name)
+        .key("schedule")
+        .text(plan.schedule)
+        .key("seed")
+        .number(static_cast<std::int64_t>(plan.seed));
+    jot.key("accepted")
+        .number(static_cast<std::int64_t>(accepted.size()))
+        .key("races")
+        .number(races)
+        .key("in_force_ms")
+        .number(slowest_force / 1000);
+    jot.key("last_after_mark_ms")
+        .number(late_leave / 1000)
+        .key("last_after_empty_ms")
+        .number(late_empty / 1000)
+        .key("cold_most")
+        .number(most_cold);
     jot.key("back_ms").number(full && first_back > 0 ? (first_back - lost_back) / 1000 : -1);
-    jot.key("first_sends").number(static_cast<std::int64_t>(first)).key("resends").number(static_cast<std::int64_t>(again));
-    jot.key("hit_percent").number(asked == 0 ? 0 : static_cast<std::int64_t>(hit * 100 / asked)).key("far_percent").number(first + again == 0 ? 0 : static_cast<std::int64_t>(far * 100 / (first + again)));
-    jot.key("mesh_bytes").number(static_cast<std::int64_t>(bytes)).key("chorus").raw(chorus.empty() ? "null" : chorus).key("faults").open();
+    jot.key("first_sends")
+        .number(static_cast<std::int64_t>(first))
+        .key("resends")
+        .number(static_cast<std::int64_t>(again));
+    jot.key("hit_percent")
+        .number(asked == 0 ? 0 : static_cast<std::int64_t>(hit * 100 / asked))
+        .key("far_percent")
+        .number(first + again == 0 ? 0 : static_cast<std::int64_t>(far * 100 / (first + again)));
+    jot.key("mesh_bytes")
+        .number(static_cast<std::int64_t>(bytes))
+        .key("chorus")
+        .raw(chorus.empty() ? "null" : chorus)
+        .key("faults")
+        .open();
     int sum = 0;
     for (std::pair<std::string const, int> const& item : faults) {
       jot.key(item.first).number(item.second);
@@ -871,10 +990,16 @@
   Plan plan;
   plan.bin = std::filesystem::canonical("/proc/self/exe").parent_path();
   options::options_description flags("scene: runs a whole fleet on this machine, breaks it, and judges it");
-  flags.add_options()("shape", options::value(&plan.shape), "coop or utility")("schedule", options::value(&plan.schedule), "a schedule's name")(
-      "steps", options::value(&plan.steps), "steps of your own instead, such as \"2 kill p1; 5 start p1\"")("seconds", options::value(&plan.seconds), "for how long callers ask")(
-      "rate", options::value(&plan.rate), "requests a second")("hot", options::value(&plan.hot), "the share of one hot opening")("slots", options::value(&plan.slots), "requests that a worker runs at once")("seed", options::value(&plan.seed))("probe", options::bool_switch(&plan.probe), "first try bad input and odd workers")(
-      "folder", options::value(&plan.folder), "where data, logs and books go")("net", options::value(&plan.net), "the second number of the loopback addresses, 2 to 250")("help", "");
+  flags.add_options()("shape", options::value(&plan.shape), "coop or utility")(
+      "schedule", options::value(&plan.schedule), "a schedule's name")(
+      "steps", options::value(&plan.steps), "steps of your own instead, such as \"2 kill p1; 5 start p1\"")(
+      "seconds", options::value(&plan.seconds), "for how long callers ask")(
+      "rate", options::value(&plan.rate), "requests a second")("hot", options::value(&plan.hot),
+                                                               "the share of one hot opening")(
+      "slots", options::value(&plan.slots), "requests that a worker runs at once")("seed", options::value(&plan.seed))(
+      "probe", options::bool_switch(&plan.probe), "first try bad input and odd workers")(
+      "folder", options::value(&plan.folder), "where data, logs and books go")(
+      "net", options::value(&plan.net), "the second number of the loopback addresses, 2 to 250")("help", "");
   try {
     options::variables_map map;
     options::store(options::parse_command_line(argc, argv, flags), map);
@@ -895,7 +1020,8 @@
   Result<std::vector<Step>> steps = read_steps(plan.steps.empty() ? schedule->steps : plan.steps, cast_of(*shape));
   if (!steps) return std::fprintf(stderr, "scene: %s\n", steps.error().why.c_str()), 2;
   if (plan.seconds <= 0) plan.seconds = schedule->seconds;
-  if (plan.folder.empty()) plan.folder = std::filesystem::temp_directory_path() / ("scene-" + std::to_string(::getpid()));
+  if (plan.folder.empty())
+    plan.folder = std::filesystem::temp_directory_path() / ("scene-" + std::to_string(::getpid()));
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   return Scene(plan, *shape, std::move(steps.value())).run();
 }
--- a/src/canon/creed/creed.cc
+++ b/src/canon/creed/creed.cc
@@ -63,7 +63,8 @@
     return false;
   }
 
-  bool object(Element const& value, std::string const& path, Rules const& rules, std::set<std::string_view> const& needs) {
+  bool object(Element const& value, std::string const& path, Rules const& rules,
+              std::set<std::string_view> const& needs) {
     simdjson::dom::object obj;
     if (value.get_object().get(obj)) return wrong(path, "an object is expected");
     std::set<std::string_view> seen;
@@ -79,7 +80,8 @@
     return true;
   }
 
-  bool list(Element const& value, std::string const& path, std::function<bool(Element const&, std::string const&)> const& each) {
+  bool list(Element const& value, std::string const& path,
+            std::function<bool(Element const&, std::string const&)> const& each) {
     simdjson::dom::array items;
     if (value.get_array().get(items)) return wrong(path, "a list is expected");
     std::size_t n = 0;
@@ -148,25 +150,34 @@
   std::set<std::string> pool_names;
   std::set<std::string> lane_names;
 
-  std::function<bool(Element const&, std::string const&)> const one_pool = [&](Element const& value, std::string const& path) {
+  std::function<bool(Element const&, std::string const&)> const one_pool = [&](Element const& value,
+                                                                               std::string const& path) {
     Pool pool;
     Rules const rules = {
         {"name", [&](Element const& v, std::string const& p) { return reader.name(v, p, pool.name); }},
         {"model", [&](Element const& v, std::string const& p) { return reader.text(v, p, pool.model); }},
         {"slots", [&](Element const& v, std::string const& p) { return reader.number(v, p, 1, 100000, pool.slots); }},
-        {"cold_per_second", [&](Element const& v, std::string const& p) { return reader.number(v, p, 1, 100000, pool.cold); }},
-        {"cold_ms", [&](Element const& v, std::string const& p) { return reader.span(v, p, 1000, 600000, pool.cold_span); }},
-        {"cache_blocks", [&](Element const& v, std::string const& p) { return reader.number(v, p, 0, 10000000, pool.cache_blocks); }},
-        {"cache_s", [&](Element const& v, std::string const& p) { return reader.span(v, p, 1000000, 864000, pool.cache_age); }},
-        {"block_us", [&](Element const& v, std::string const& p) { return reader.span(v, p, 1, 10000000, pool.block_cost); }},
-        {"service_ms", [&](Element const& v, std::string const& p) { return reader.span(v, p, 1000, 3600000, pool.service); }},
+        {"cold_per_second",
+         [&](Element const& v, std::string const& p) { return reader.number(v, p, 1, 100000, pool.cold); }},
+        {"cold_ms",
+         [&](Element const& v, std::string const& p) { return reader.span(v, p, 1000, 600000, pool.cold_span); }},
+        {"cache_blocks",
+         [&](Element const& v, std::string const& p) { return reader.number(v, p, 0, 10000000, pool.cache_blocks); }},
+        {"cache_s",
+         [&](Element const& v, std::string const& p) { return reader.span(v, p, 1000000, 864000, pool.cache_age); }},
+        {"block_us",
+         [&](Element const& v, std::string const& p) { return reader.span(v, p, 1, 10000000, pool.block_cost); }},
+        {"service_ms",
+         [&](Element const& v, std::string const& p) { return reader.span(v, p, 1000, 3600000, pool.service); }},
     };
     if (!reader.object(value, path, rules, {"name", "model"})) return false;
-    if (!pool_names.insert(pool.name).second) return reader.wrong(path + ".name", "the pool '" + pool.name + "' stands twice");
+    if (!pool_names.insert(pool.name).second)
+      return reader.wrong(path + ".name", "the pool '" + pool.name + "' stands twice");
     out->pools.push_back(std::move(pool));
     return true;
   };
-  std::function<bool(Element const&, std::string const&)> const one_lane = [&](Element const& value, std::string const& path) {
+  std::function<bool(Element const&, std::string const&)> const one_lane = [&](Element const& value,
+                                                                               std::string const& path) {
     Lane lane;
     Rules const rules = {
         {"name", [&](Element const& v, std::string const& p) { return reader.name(v, p, lane.name); }},
@@ -190,14 +201,16 @@
          }},
     };
     if (!reader.object(value, path, rules, {"name", "binding"})) return false;
-    if (!lane_names.insert(lane.name).second) return reader.wrong(path + ".name", "the lane '" + lane.name + "' stands twice");
+    if (!lane_names.insert(lane.name).second)
+      return reader.wrong(path + ".name", "the lane '" + lane.name + "' stands twice");
     out->lanes.push_back(std::move(lane));
     return true;
   };
   std::int64_t format = 0;
   Rules const rules = {
       {"format", [&](Element const& v, std::string const& p) { return reader.number(v, p, 1, 1, format); }},
-      {"locality_ms", [&](Element const& v, std::string const& p) { return reader.span(v, p, 1000, 600000, out->locality_cost); }},
+      {"locality_ms",
+       [&](Element const& v, std::string const& p) { return reader.span(v, p, 1000, 600000, out->locality_cost); }},
       {"pools", [&](Element const& v, std::string const& p) { return reader.list(v, p, one_pool); }},
       {"lanes", [&](Element const& v, std::string const& p) { return reader.list(v, p, one_lane); }},
   };
--- a/src/canon/creed/creed.h
+++ b/src/canon/creed/creed.h
@@ -12,13 +12,13 @@
 struct Pool {
   std::string name;
   std::string model;
-  std::int64_t slots = 60;             // requests that one worker runs at once, unless the list says otherwise
-  std::int64_t cold = 4;               // sends in one second that a cold worker bears
-  Micros cold_span = seconds(10);      // for how long a woken worker counts as cold
-  std::int64_t cache_blocks = 4096;    // blocks of prompt that one worker is believed to keep
-  Micros cache_age = seconds(900);     // for how long it is believed to
-  Micros block_cost = 3000;            // time to read one block that is not kept
-  Micros service = seconds(2);         // how long a request holds a slot, to begin with
+  std::int64_t slots = 60;           // requests that one worker runs at once, unless the list says otherwise
+  std::int64_t cold = 4;             // sends in one second that a cold worker bears
+  Micros cold_span = seconds(10);    // for how long a woken worker counts as cold
+  std::int64_t cache_blocks = 4096;  // blocks of prompt that one worker is believed to keep
+  Micros cache_age = seconds(900);   // for how long it is believed to
+  Micros block_cost = 3000;          // time to read one block that is not kept
+  Micros service = seconds(2);       // how long a request holds a slot, to begin with
 };
 
 struct Lane {
--- a/src/canon/grant/grants.h
+++ b/src/canon/grant/grants.h
@@ -30,7 +30,8 @@
 // On the node that wants a duty.
 class Holder {
  public:
-  Holder(std::string duty_, std::uint64_t seed) : duty(std::move(duty_)), dice(seed ^ mix(duty)), req(dice.roll() >> 8) {}
+  Holder(std::string duty_, std::uint64_t seed)
+      : duty(std::move(duty_)), dice(seed ^ mix(duty)), req(dice.roll() >> 8) {}
   void tick(Micros now, Ring const& ring, std::vector<Letter>& out);
   void take(std::string const& from, wire::GrantAnsT const& ans, Micros now, Ring const& ring);
   // The holder's own end is earlier than the granters' by a fifth, for clocks that run at different rates.
--- a/src/canon/register/learner.h
+++ b/src/canon/register/learner.h
@@ -16,7 +16,8 @@
   // Polls: one majority read without repair, of marks only. 'keepers' are all nodes that may keep.
   void poll(Micros now, std::vector<std::string> const& keepers, std::vector<Letter>& out);
   // Returns a chosen value when the read brings a newer one.
-  std::optional<wire::ValueT> take(std::string const& from, wire::PeekedT const& ans, Micros now, std::vector<Letter>& out);
+  std::optional<wire::ValueT> take(std::string const& from, wire::PeekedT const& ans, Micros now,
+                                   std::vector<Letter>& out);
 
   Ring const& ring() const { return set; }
   std::uint64_t serial() const { return value ? value->serial : 0; }
--- a/src/canon/register/proposer.cc
+++ b/src/canon/register/proposer.cc
@@ -64,7 +64,8 @@
   top = std::max(top, seen);
   phase = Phase::pause;
   // Rivals step aside for a random while, longer with each try.
-  due = now + millis(5) + static_cast<Micros>(dice.below(static_cast<std::uint64_t>(millis(20) * std::min(jobs.front().tries, 8))));
+  due = now + millis(5) +
+        static_cast<Micros>(dice.below(static_cast<std::uint64_t>(millis(20) * std::min(jobs.front().tries, 8))));
 }
 
 void Proposer::finish(Outcome const& outcome) {
@@ -91,7 +92,8 @@
   std::vector<std::string>::iterator const zone = std::find(zones.begin(), zones.end(), change.text);
   if (!mine) {
     switch (change.sort) {
-      case Change::Sort::read: break;
+      case Change::Sort::read:
+        break;
       case Change::Sort::apply:
         if (draft.serial != change.expected && guard(Guard::expected)) {
           verdict = Fault{Kind::stale_serial, "the present serial is " + std::to_string(draft.serial), ""};
--- a/src/canon/register/proposer.h
+++ b/src/canon/register/proposer.h
@@ -29,7 +29,7 @@
   Sort sort = Sort::unknown;
   Fault fault;
   std::uint64_t serial = 0;  // of the change itself, when it was chosen; the value may be newer
-  wire::ValueT value;  // the value chosen in the end, when one was
+  wire::ValueT value;        // the value chosen in the end, when one was
 };
 
 struct ProposerPlan {
--- a/src/canon/ring/ring.cc
+++ b/src/canon/ring/ring.cc
@@ -59,7 +59,8 @@
     return record;
   }
   if (there != slots)
-    return fail(Kind::bad_disk, "the ring has " + std::to_string(there) + " of its " + std::to_string(slots) + " files");
+    return fail(Kind::bad_disk,
+                "the ring has " + std::to_string(there) + " of its " + std::to_string(slots) + " files");
   std::array<Slot, slots> all;
   Slot const* best = nullptr;
   for (std::size_t i = 0; i < slots; ++i) {
--- a/src/canon/tongue/compiler.cc
+++ b/src/canon/tongue/compiler.cc
@@ -117,9 +117,12 @@
     }
     Token const how = here();
     if (fields[row].sort == FieldSort::text) {
-      if (sign("=")) step.op = Program::Op::text_is;
-      else if (sign("!=")) step.op = Program::Op::text_not;
-      else if (word("starts")) step.op = Program::Op::text_starts;
+      if (sign("="))
+        step.op = Program::Op::text_is;
+      else if (sign("!="))
+        step.op = Program::Op::text_not;
+      else if (word("starts"))
+        step.op = Program::Op::text_starts;
       else {
         fault = wrong("'" + std::string(fields[row].name) + "' takes =, != or starts");
         return false;
@@ -130,12 +133,18 @@
       }
       step.text = take().text;
     } else {
-      if (sign("<")) step.op = Program::Op::less;
-      else if (sign("<=")) step.op = Program::Op::most;
-      else if (sign(">")) step.op = Program::Op::more;
-      else if (sign(">=")) step.op = Program::Op::least;
-      else if (sign("=")) step.op = Program::Op::same;
-      else if (sign("!=")) step.op = Program::Op::other;
+      if (sign("<"))
+        step.op = Program::Op::less;
+      else if (sign("<="))
+        step.op = Program::Op::most;
+      else if (sign(">"))
+        step.op = Program::Op::more;
+      else if (sign(">="))
+        step.op = Program::Op::least;
+      else if (sign("="))
+        step.op = Program::Op::same;
+      else if (sign("!="))
+        step.op = Program::Op::other;
       else {
         fault = wrong("'" + std::string(fields[row].name) + "' takes <, <=, >, >=, = or !=");
         return false;
@@ -146,8 +155,10 @@
       }
       Token const& value = take();
       bool const share = fields[row].name == "demand";
-      if (value.unit == "k" && !share) step.number = value.number * 1000;
-      else if ((value.unit == "%" && share) || (value.unit.empty() && !share)) step.number = value.number;
+      if (value.unit == "k" && !share)
+        step.number = value.number * 1000;
+      else if ((value.unit == "%" && share) || (value.unit.empty() && !share))
+        step.number = value.number;
       else {
         fault = wrong_at(value.spot, share ? "demand is given in %" : "the unit '" + value.unit + "' does not fit");
         return false;
@@ -164,10 +175,14 @@
 
 bool span(Token const& token, Micros& out) {
   if (token.sort != Sort::number) return false;
-  if (token.unit == "ms") out = millis(token.number);
-  else if (token.unit == "s") out = seconds(token.number);
-  else if (token.unit == "m") out = seconds(token.number * 60);
-  else return false;
+  if (token.unit == "ms")
+    out = millis(token.number);
+  else if (token.unit == "s")
+    out = seconds(token.number);
+  else if (token.unit == "m")
+    out = seconds(token.number * 60);
+  else
+    return false;
   return out > 0 && out <= seconds(3600);
 }
 
@@ -180,27 +195,64 @@
     std::string const* text = nullptr;
     std::int64_t number = 0;
     switch (static_cast<Field>(step.field)) {
-      case Field::model: text = &facts.model; break;
-      case Field::user: text = &facts.user; break;
-      case Field::zone: text = &facts.zone; break;
-      case Field::size: number = facts.size; break;
-      case Field::output: number = facts.output; break;
-      case Field::demand: number = demand; break;
-      case Field::stream: break;
+      case Field::model:
+        text = &facts.model;
+        break;
+      case Field::user:
+        text = &facts.user;
+        break;
+      case Field::zone:
+        text = &facts.zone;
+        break;
+      case Field::size:
+        number = facts.size;
+        break;
+      case Field::output:
+        number = facts.output;
+        break;
+      case Field::demand:
+        number = demand;
+        break;
+      case Field::stream:
+        break;
     }
     switch (step.op) {
-      case Op::text_is: stack.push_back(*text == step.text); break;
-      case Op::text_not: stack.push_back(*text != step.text); break;
-      case Op::text_starts: stack.push_back(text->compare(0, step.text.size(), step.text) == 0); break;
-      case Op::less: stack.push_back(number < step.number); break;
-      case Op::most: stack.push_back(number <= step.number); break;
-      case Op::more: stack.push_back(number > step.number); break;
-      case Op::least: stack.push_back(number >= step.number); break;
-      case Op::same: stack.push_back(number == step.number); break;
-      case Op::other: stack.push_back(number != step.number); break;
-      case Op::truth: stack.push_back(facts.stream); break;
-      case Op::always: stack.push_back(true); break;
-      case Op::negate: stack.back() = !stack.back(); break;
+      case Op::text_is:
+        stack.push_back(*text == step.text);
+        break;
+      case Op::text_not:
+        stack.push_back(*text != step.text);
+        break;
+      case Op::text_starts:
+        stack.push_back(text->compare(0, step.text.size(), step.text) == 0);
+        break;
+      case Op::less:
+        stack.push_back(number < step.number);
+        break;
+      case Op::most:
+        stack.push_back(number <= step.number);
+        break;
+      case Op::more:
+        stack.push_back(number > step.number);
+        break;
+      case Op::least:
+        stack.push_back(number >= step.number);
+        break;
+      case Op::same:
+        stack.push_back(number == step.number);
+        break;
+      case Op::other:
+        stack.push_back(number != step.number);
+        break;
+      case Op::truth:
+        stack.push_back(facts.stream);
+        break;
+      case Op::always:
+        stack.push_back(true);
+        break;
+      case Op::negate:
+        stack.back() = !stack.back();
+        break;
       case Op::both:
       case Op::either: {
         bool const right = stack.back();
@@ -227,16 +279,19 @@
       matched = true;
       if (!parser.condition(out.match, fault)) return boost::outcome_v2::failure(fault);
       for (Program::Step const& step : out.match.steps)
-        if (step.op <= Program::Op::truth && static_cast<Field>(step.field) == Field::demand && step.op != Program::Op::truth)
+        if (step.op <= Program::Op::truth && static_cast<Field>(step.field) == Field::demand &&
+            step.op != Program::Op::truth)
           return boost::outcome_v2::failure(parser.wrong_at(spot, "demand belongs to a pool's 'when', not to 'match'"));
     } else if (parser.word("pool")) {
-      if (parser.here().sort != Sort::word) return boost::outcome_v2::failure(parser.wrong("a pool's name is expected"));
+      if (parser.here().sort != Sort::word)
+        return boost::outcome_v2::failure(parser.wrong("a pool's name is expected"));
       Binding::Choice choice;
       choice.spot = parser.here().spot;
       choice.pool = parser.take().text;
       for (Binding::Choice const& old : out.pools)
         if (old.pool == choice.pool)
-          return boost::outcome_v2::failure(parser.wrong_at(choice.spot, "the pool '" + choice.pool + "' stands twice"));
+          return boost::outcome_v2::failure(
+              parser.wrong_at(choice.spot, "the pool '" + choice.pool + "' stands twice"));
       if (parser.word("when") && !parser.condition(choice.when, fault)) return boost::outcome_v2::failure(fault);
       out.pools.push_back(std::move(choice));
     } else {
@@ -256,7 +311,8 @@
   Policy out;
   std::set<std::string> seen;
   while (!parser.over()) {
-    if (parser.here().sort != Sort::word) return boost::outcome_v2::failure(parser.wrong("a policy's word is expected"));
+    if (parser.here().sort != Sort::word)
+      return boost::outcome_v2::failure(parser.wrong("a policy's word is expected"));
     Token const name = parser.take();
     if (!seen.insert(name.text).second)
       return boost::outcome_v2::failure(parser.wrong_at(name.spot, "'" + name.text + "' stands twice"));
@@ -267,22 +323,34 @@
       Micros& slot = name.text == "wait" ? out.wait : name.text == "answer" ? out.answer : out.stall;
       if (!span(value, slot)) bad = "takes a time such as 800ms or 2s, up to 60m";
     } else if (name.text == "urgency") {
-      if (plain && value.number <= 9) out.urgency = value.number;
-      else bad = "takes a number from 0 to 9";
+      if (plain && value.number <= 9)
+        out.urgency = value.number;
+      else
+        bad = "takes a number from 0 to 9";
     } else if (name.text == "backlog") {
-      if (plain && value.number <= 100000) out.backlog = value.number;
-      else bad = "takes a number up to 100000";
+      if (plain && value.number <= 100000)
+        out.backlog = value.number;
+      else
+        bad = "takes a number up to 100000";
     } else if (name.text == "tries") {
-      if (plain && value.number >= 1 && value.number <= 5) out.tries = value.number;
-      else bad = "takes a number from 1 to 5";
+      if (plain && value.number >= 1 && value.number <= 5)
+        out.tries = value.number;
+      else
+        bad = "takes a number from 1 to 5";
     } else if (name.text == "repeat") {
-      if (value.sort == Sort::word && (value.text == "never" || value.text == "safe")) out.safe = value.text == "safe";
-      else bad = "takes never or safe";
+      if (value.sort == Sort::word && (value.text == "never" || value.text == "safe"))
+        out.safe = value.text == "safe";
+      else
+        bad = "takes never or safe";
     } else if (name.text == "locality") {
-      if (value.sort == Sort::word && value.text == "prefer") out.locality = Locality::prefer;
-      else if (value.sort == Sort::word && value.text == "only") out.locality = Locality::only;
-      else if (value.sort == Sort::word && value.text == "any") out.locality = Locality::any;
-      else bad = "takes prefer, only or any";
+      if (value.sort == Sort::word && value.text == "prefer")
+        out.locality = Locality::prefer;
+      else if (value.sort == Sort::word && value.text == "only")
+        out.locality = Locality::only;
+      else if (value.sort == Sort::word && value.text == "any")
+        out.locality = Locality::any;
+      else
+        bad = "takes prefer, only or any";
     } else {
       return boost::outcome_v2::failure(parser.wrong_at(name.spot, "there is no policy word '" + name.text + "'"));
     }
--- a/src/canon/tongue/lexer.cc
+++ b/src/canon/tongue/lexer.cc
@@ -40,7 +40,8 @@
     } else if (digit(c)) {
       token.sort = Sort::number;
       while (at < text.size() && digit(text[at])) {
-        if (token.number > 1000000000000) return fail(Kind::bad_language, "the number is too large", place_of(text, token.spot));
+        if (token.number > 1000000000000)
+          return fail(Kind::bad_language, "the number is too large", place_of(text, token.spot));
         token.number = token.number * 10 + (text[at++] - '0');
       }
       while (at < text.size() && (letter(text[at]) || text[at] == '%')) token.unit += text[at++];
@@ -58,7 +59,8 @@
       static std::string_view const signs[] = {";", "(", ")", "=", "!=", "<", "<=", ">", ">="};
       bool known = false;
       for (std::string_view const sign : signs) known = known || sign == token.text;
-      if (!known) return fail(Kind::bad_language, "'" + token.text + "' has no meaning here", place_of(text, token.spot));
+      if (!known)
+        return fail(Kind::bad_language, "'" + token.text + "' has no meaning here", place_of(text, token.spot));
     }
     out.push_back(std::move(token));
   }
--- a/src/canon/tongue/tongue.h
+++ b/src/canon/tongue/tongue.h
@@ -17,7 +17,7 @@
 struct Facts {
   std::string model;
   std::string user;
-  std::string zone;     // of the node that was asked
+  std::string zone;         // of the node that was asked
   std::int64_t size = 0;    // bytes of the caller's body
   std::int64_t output = 0;  // tokens asked for, 0 when not said
   bool stream = false;
@@ -26,7 +26,22 @@
 // A compiled condition: a list of steps for a small stack.
 class Program {
  public:
-  enum class Op : std::uint8_t { text_is, text_not, text_starts, less, most, more, least, same, other, truth, both, either, negate, always };
+  enum class Op : std::uint8_t {
+    text_is,
+    text_not,
+    text_starts,
+    less,
+    most,
+    more,
+    least,
+    same,
+    other,
+    truth,
+    both,
+    either,
+    negate,
+    always
+  };
   struct Step {
     Op op;
     std::uint8_t field = 0;
--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -75,7 +75,8 @@
   if (plan.role == Role::passage) out.insert(plan.name);
   for (std::pair<std::string const, Peer> const& item : mesh.roll.peers) {
     State const state = item.second.state();
-    if (item.second.role() == Role::passage && (all || state == State::alive || state == State::suspected)) out.insert(item.first);
+    if (item.second.role() == Role::passage && (all || state == State::alive || state == State::suspected))
+      out.insert(item.first);
   }
   return out;
 }
@@ -83,7 +84,8 @@
 std::vector<std::string> Node::tide_peers() const {
   std::vector<std::string> out;
   for (std::pair<std::string const, Peer> const& item : mesh.roll.peers)
-    if (item.second.role() == Role::passage && item.second.wire != 0 && item.second.state() == State::alive) out.push_back(item.first);
+    if (item.second.role() == Role::passage && item.second.wire != 0 && item.second.state() == State::alive)
+      out.push_back(item.first);
   return out;
 }
 
@@ -171,21 +173,26 @@
         letters.push_back(letter(from, std::move(ans)));
       }
       break;
-    case wire::Body::GrantAns: mend.take(from, *body.AsGrantAns(), now, learner.ring()); break;
+    case wire::Body::GrantAns:
+      mend.take(from, *body.AsGrantAns(), now, learner.ring());
+      break;
     case wire::Body::Loads:
       fleet.peer_legs(from, *body.AsLoads(), now);
       break;
     case wire::Body::Doubt:
       // Asked at once; a worker that is well is back in a moment.
-      if (fleet.doubt(body.AsDoubt()->worker, body.AsDoubt()->incarnation, now)) check_now(body.AsDoubt()->worker, now, out);
+      if (fleet.doubt(body.AsDoubt()->worker, body.AsDoubt()->incarnation, now))
+        check_now(body.AsDoubt()->worker, now, out);
       break;
     case wire::Body::Deltas:
     case wire::Body::TreeAsk:
     case wire::Body::TreePage:
       if (plan.role == Role::passage)
-        tide.take(from, body, now, [this](std::string const& model) { return bounds(model); }, tide_peers(), letters);
+        tide.take(
+            from, body, now, [this](std::string const& model) { return bounds(model); }, tide_peers(), letters);
+      break;
+    default:
       break;
-    default: break;
   }
   dispatch(letters, now, out);
 }
@@ -243,14 +250,16 @@
     return false;
   }
   bool const greeting = frame.value()->body.type == wire::Body::Hello;
-  std::string const hello_name = greeting && frame.value()->body.AsHello()->self ? frame.value()->body.AsHello()->self->name : "";
+  std::string const hello_name =
+      greeting && frame.value()->body.AsHello()->self ? frame.value()->body.AsHello()->self->name : "";
   std::string const from = mesh.frame(id, *frame.value(), now, out.mesh);
   heard_at = now;
   take_fresh(now);
   if (greeting) {
     // §5.5: a peer that comes with an older serial is told the chosen value at once.
     std::map<std::string, Peer>::const_iterator const peer = mesh.roll.peers.find(hello_name);
-    if (peer != mesh.roll.peers.end() && peer->second.wire == id && learner.value && peer->second.member.serial < learner.serial()) {
+    if (peer != mesh.roll.peers.end() && peer->second.wire == id && learner.value &&
+        peer->second.member.serial < learner.serial()) {
       wire::ChosenT news;
       news.value = std::make_unique<wire::ValueT>(*learner.value);
       mesh.post(hello_name, std::move(news), out.mesh);
@@ -340,8 +349,8 @@
     if (able) sure = true;
     for (std::pair<std::string const, Peer> const& item : mesh.roll.peers) {
       Peer const& peer = item.second;
-      if (peer.wire != 0 && peer.state() == State::alive && peer.role() == Role::passage && peer.member.ready && learner.value &&
-          learner.serial() >= peer.member.serial)
+      if (peer.wire != 0 && peer.state() == State::alive && peer.role() == Role::passage && peer.member.ready &&
+          learner.value && learner.serial() >= peer.member.serial)
         sure = true;
     }
   }
@@ -361,9 +370,15 @@
 
 void Node::operate(std::uint64_t id, Change change, Micros now, NodeOut& out) {
   watch_clock(now);
-  if (change.id.empty()) change.id = plan.name + "-" + std::to_string(plan.incarnation) + "-" + std::to_string(++change_count);
+  if (change.id.empty())
+    change.id = plan.name + "-" + std::to_string(plan.incarnation) + "-" + std::to_string(++change_count);
   Change const kept = change;
-  bool const taken = proposer.ask(std::move(change), [this, id, kept](Outcome const& outcome) { ended.push_back({id, kept, outcome}); }, now);
+  bool const taken = proposer.ask(
+      std::move(change),
+      [this, id, kept](Outcome const& outcome) {
+        ended.push_back({id, kept, outcome});
+      },
+      now);
   if (!taken) {
     Reply reply;
     reply.id = id;
@@ -399,10 +414,12 @@
     bool const fresh = learner.adopt(outcome.value, now);
     if (fresh) after_value(now, out);
     // Also when a poll brought it here first: the others may hear of it from nobody else.
-    if (fresh || outcome.sort == Outcome::Sort::chosen || change.sort == Change::Sort::empty) spread(outcome.value, req, out);
+    if (fresh || outcome.sort == Outcome::Sort::chosen || change.sort == Change::Sort::empty)
+      spread(outcome.value, req, out);
     look_ready(now, out);
   } else {
-    tell(outcome.sort == Outcome::Sort::unknown ? Event::change_lost : Event::change_refused, change.id + " " + kind_row(outcome.fault.kind).name);
+    tell(outcome.sort == Outcome::Sort::unknown ? Event::change_lost : Event::change_refused,
+         change.id + " " + kind_row(outcome.fault.kind).name);
     if (outcome.value.serial > 0 && learner.adopt(outcome.value, now)) after_value(now, out);
   }
   if (id == 0) {
@@ -456,7 +473,8 @@
   std::uint64_t const disk = acceptor->held().disk;
   if (learner.ring().epoch == 1 && learner.ring().holds(plan.name, disk)) {
     wire::FoundT news;
-    for (wire::KeeperT const& item : learner.ring().keepers) news.keepers.push_back(std::make_unique<wire::KeeperT>(item));
+    for (wire::KeeperT const& item : learner.ring().keepers)
+      news.keepers.push_back(std::make_unique<wire::KeeperT>(item));
     letters.push_back(letter(plan.name, std::move(news)));
     return;
   }
@@ -469,8 +487,10 @@
     std::unique_ptr<wire::KeeperT> keeper = std::make_unique<wire::KeeperT>();
     keeper->name = name;
     keeper->disk = sight->second.disk;
-    if (name == plan.name) keeper->address = plan.address;
-    else if (mesh.roll.peers.count(name)) keeper->address = mesh.roll.peers.at(name).member.address;
+    if (name == plan.name)
+      keeper->address = plan.address;
+    else if (mesh.roll.peers.count(name))
+      keeper->address = mesh.roll.peers.at(name).member.address;
     news.keepers.push_back(std::move(keeper));
   }
   tell(Event::founded, std::to_string(news.keepers.size()) + " keepers");
@@ -529,7 +549,8 @@
     return;
   }
   static char const* const words[] = {"", "", "", "", "admit ", "dismiss "};
-  tell(change.sort == Change::Sort::read ? Event::copies_mended : Event::keeper_swapped, words[static_cast<std::size_t>(change.sort)] + change.keeper.name + " epoch " + std::to_string(ring.epoch));
+  tell(change.sort == Change::Sort::read ? Event::copies_mended : Event::keeper_swapped,
+       words[static_cast<std::size_t>(change.sort)] + change.keeper.name + " epoch " + std::to_string(ring.epoch));
   duty_busy = true;
   operate(0, std::move(change), now, out);
 }
@@ -552,7 +573,8 @@
       next_round = now + seconds(1);
       std::vector<std::pair<std::string, std::vector<std::string>>> peers;
       for (std::string const& name : tide_peers()) peers.emplace_back(name, mesh.roll.peers.at(name).member.models);
-      tide.round(now, peers, [this](std::string const& model) { return bounds(model); }, letters);
+      tide.round(
+          now, peers, [this](std::string const& model) { return bounds(model); }, letters);
       own_entries(now, out);
     }
     tide.tick(now, tide_peers(), letters);
@@ -572,7 +594,8 @@
       if (worker.standing == Standing::gone || checking.count(item.first)) continue;
       if (now >= check_due[item.first]) check_now(item.first, now, out);
     }
-    // §6.6: the share of a cold worker's bound counts every node that is known, DOWN ones too, so that a cut never raises the sum.
+    // §6.6: the share of a cold worker's bound counts every node that is known, DOWN ones too, so that a cut never
+    // raises the sum.
     desk.nodes(passages(true));
     tell_loads(now, letters);
     std::set<std::string> senders = passages(false);
@@ -609,7 +632,8 @@
   next_loads = now + load_gap;
   wire::LoadsT const loads = fleet.own_legs();
   std::string print;
-  for (std::unique_ptr<wire::LoadT> const& item : loads.list) print += item->worker + " " + std::to_string(item->legs) + " ";
+  for (std::unique_ptr<wire::LoadT> const& item : loads.list)
+    print += item->worker + " " + std::to_string(item->legs) + " ";
   if (print == loads_last && now - loads_told < seconds(1)) return;
   loads_last = print;
   loads_told = now;
--- a/src/flow/errand/desk.cc
+++ b/src/flow/errand/desk.cc
@@ -30,7 +30,8 @@
   Ran const ran = errand.legs == 0 ? row.ran : errand.ran;
   if (wait == 0) wait = row.wait;
   if (ran == Ran::no && wait == 0 && row.status >= 429) wait = millis(1000);
-  tell(Event::errand_refused, std::string(row.name) + " lane " + (errand.lane == nullptr ? "-" : errand.lane->name) + " ran " + ran_word(ran) + " back in " + std::to_string(wait / 1000) + " ms");
+  tell(Event::errand_refused, std::string(row.name) + " lane " + (errand.lane == nullptr ? "-" : errand.lane->name) +
+                                  " ran " + ran_word(ran) + " back in " + std::to_string(wait / 1000) + " ms");
   out.ends.push_back(Verdict{errand.id, std::move(fault), ran, wait});
   erase(errand);
 }
@@ -57,20 +58,26 @@
   Facts const& facts = errand.ask.facts;
   bool model_known = false;
   for (Pool const& pool : rules->pools) model_known = model_known || pool.model == facts.model;
-  if (!model_known) return give_up(errand, Fault{Kind::unknown_model, "no pool serves the model '" + facts.model + "'", ""}, 0, out);
+  if (!model_known)
+    return give_up(errand, Fault{Kind::unknown_model, "no pool serves the model '" + facts.model + "'", ""}, 0, out);
   if (!errand.ask.lane.empty()) {
     errand.lane = rules->lane(errand.ask.lane);
-    if (errand.lane == nullptr) return give_up(errand, Fault{Kind::unknown_lane, "there is no lane '" + errand.ask.lane + "'", ""}, 0, out);
+    if (errand.lane == nullptr)
+      return give_up(errand, Fault{Kind::unknown_lane, "there is no lane '" + errand.ask.lane + "'", ""}, 0, out);
     if (!errand.lane->binding.match.holds(facts, 0))
-      return give_up(errand, Fault{Kind::unknown_lane, "the lane '" + errand.ask.lane + "' does not take this request", ""}, 0, out);
+      return give_up(errand,
+                     Fault{Kind::unknown_lane, "the lane '" + errand.ask.lane + "' does not take this request", ""}, 0,
+                     out);
   } else {
     for (Lane const& lane : rules->lanes)
       if (errand.lane == nullptr && lane.binding.match.holds(facts, 0)) errand.lane = &lane;
-    if (errand.lane == nullptr) return give_up(errand, Fault{Kind::unknown_lane, "no lane takes this request", ""}, 0, out);
+    if (errand.lane == nullptr)
+      return give_up(errand, Fault{Kind::unknown_lane, "no lane takes this request", ""}, 0, out);
   }
   errand.model = rules->pool(errand.lane->binding.pools.front().pool)->model;
   if (errand.model != facts.model)
-    return give_up(errand, Fault{Kind::unknown_model, "the lane does not serve the model '" + facts.model + "'", ""}, 0, out);
+    return give_up(errand, Fault{Kind::unknown_model, "the lane does not serve the model '" + facts.model + "'", ""}, 0,
+                   out);
   errand.safe = errand.lane->policy.safe || errand.ask.safe;
   errand.due = now + errand.lane->policy.wait;
   std::size_t ahead = 0;
@@ -85,9 +92,12 @@
   // §6.5: taken in only when the prediction fits half the wait. The mean says nothing of those more urgent who come
   // later; without this margin they turn a waiting request into a late refusal.
   if (choice.say == Say::wait && choice.wait > errand.lane->policy.wait / 2)
-    return give_up(errand, Fault{Kind::crowded, "", ""}, std::clamp<Micros>(choice.wait, millis(500), seconds(10)), out);
+    return give_up(errand, Fault{Kind::crowded, "", ""}, std::clamp<Micros>(choice.wait, millis(500), seconds(10)),
+                   out);
   std::int64_t& count = lane_waiting[errand.lane->name];
-  if (count >= errand.lane->policy.backlog) return give_up(errand, Fault{Kind::backlog_full, "", ""}, std::clamp<Micros>(choice.wait, millis(500), seconds(10)), out);
+  if (count >= errand.lane->policy.backlog)
+    return give_up(errand, Fault{Kind::backlog_full, "", ""}, std::clamp<Micros>(choice.wait, millis(500), seconds(10)),
+                   out);
   ++count;
   backlog.insert(errand);
   // Nobody overtakes those who wait already: what is free goes out in the backlog's order.
@@ -108,7 +118,8 @@
     std::vector<Worker*> field;
     for (std::pair<std::string const, Worker>& item : fleet.workers) {
       Worker& worker = item.second;
-      if (worker.row.pool != pool->name || !worker.takes() || (guard(Guard::zone_veto) && shut.count(worker.row.zone))) continue;
+      if (worker.row.pool != pool->name || !worker.takes() || (guard(Guard::zone_veto) && shut.count(worker.row.zone)))
+        continue;
       if (errand.lane->policy.locality == Locality::only && worker.row.zone != zone) continue;
       slots += worker.room(*pool);
       busy += worker.guess();
@@ -132,7 +143,8 @@
         continue;
       }
       // §6.6: a worker that does not answer in time is passed over while others can be had.
-      bool const unsure = guard(Guard::cold_share) && fleet.unsure(*worker, fleet.cold_share(*worker, pool->cold, self, names));
+      bool const unsure =
+          guard(Guard::cold_share) && fleet.unsure(*worker, fleet.cold_share(*worker, pool->cold, self, names));
       if (unsure && (sure_only || (worker->asked >= 0 && now - worker->asked > millis(100)))) {
         if (soonest < 0 || soonest > millis(50)) soonest = millis(50);
         continue;
@@ -142,7 +154,8 @@
       // §6.4: what is missing of the prefix, what runs already, and the way there.
       Micros cost = static_cast<Micros>(errand.ask.path.size() - have) * pool->block_cost;
       cost += hold * load / room / 10;
-      if (worker->row.zone != zone && errand.lane->policy.locality != Locality::any) cost += errand.rules->locality_cost;
+      if (worker->row.zone != zone && errand.lane->policy.locality != Locality::any)
+        cost += errand.rules->locality_cost;
       if (best.worker == nullptr || cost < least) {
         best.worker = worker;
         best.hit = have;
@@ -202,8 +215,10 @@
   while (!worker.sends.empty() && now - worker.sends.front() >= Fleet::cold_window) worker.sends.pop_front();
   worker.sends.push_back(now);
   Index::Bounds const bounds{static_cast<std::size_t>(pool.cache_blocks), pool.cache_age};
-  tide.queue(errand.model, tide.index(errand.model).touch(errand.ask.path, worker.row.id, worker.row.incarnation, bounds, now));
-  out.starts.push_back(Start{errand.id, errand.legs, worker.row.id, worker.row.address, errand.lane->policy.answer, errand.lane->policy.stall});
+  tide.queue(errand.model,
+             tide.index(errand.model).touch(errand.ask.path, worker.row.id, worker.row.incarnation, bounds, now));
+  out.starts.push_back(Start{errand.id, errand.legs, worker.row.id, worker.row.address, errand.lane->policy.answer,
+                             errand.lane->policy.stall});
 }
 
 void Desk::sent(std::uint64_t id) {
@@ -227,7 +242,8 @@
     }
   }
   if (good) {
-    double& seen = service_seen.try_emplace(errand.pool, static_cast<double>(errand.rules->pool(errand.pool)->service)).first->second;
+    double& seen = service_seen.try_emplace(errand.pool, static_cast<double>(errand.rules->pool(errand.pool)->service))
+                       .first->second;
     seen = seen * 0.95 + static_cast<double>(now - errand.leg_from) * 0.05;
   }
 }
@@ -246,14 +262,32 @@
   Ran ran = Ran::unknown;
   Kind kind = Kind::worker_failed;
   switch (end) {
-    case LegEnd::unreached: ran = Ran::no; kind = Kind::worker_unreached; break;
-    case LegEnd::refused: ran = Ran::no; kind = Kind::worker_refused; break;
-    case LegEnd::failed: kind = Kind::worker_failed; break;
-    case LegEnd::broke: kind = Kind::worker_broke; break;
-    case LegEnd::silent: kind = Kind::worker_silent; break;
-    case LegEnd::wrong: kind = Kind::worker_wrong; break;
-    case LegEnd::torn: ran = Ran::yes; kind = Kind::answer_torn; break;
-    case LegEnd::done: break;
+    case LegEnd::unreached:
+      ran = Ran::no;
+      kind = Kind::worker_unreached;
+      break;
+    case LegEnd::refused:
+      ran = Ran::no;
+      kind = Kind::worker_refused;
+      break;
+    case LegEnd::failed:
+      kind = Kind::worker_failed;
+      break;
+    case LegEnd::broke:
+      kind = Kind::worker_broke;
+      break;
+    case LegEnd::silent:
+      kind = Kind::worker_silent;
+      break;
+    case LegEnd::wrong:
+      kind = Kind::worker_wrong;
+      break;
+    case LegEnd::torn:
+      ran = Ran::yes;
+      kind = Kind::answer_torn;
+      break;
+    case LegEnd::done:
+      break;
   }
   if (end == LegEnd::unreached && errand.left) {  // the executor cannot be sure after all
     ran = Ran::unknown;
@@ -263,12 +297,14 @@
   errand.ran = std::max(errand.ran, ran);
   // §6.6: a broken wire may mean that the worker ended; it is asked before it gets anything more.
   Worker const* const worker = fleet.find(errand.worker);
-  if (worker != nullptr && (end == LegEnd::unreached || end == LegEnd::broke || end == LegEnd::silent || end == LegEnd::torn) &&
+  if (worker != nullptr &&
+      (end == LegEnd::unreached || end == LegEnd::broke || end == LegEnd::silent || end == LegEnd::torn) &&
       fleet.doubt(errand.worker, errand.life, now))
     out.doubts.emplace_back(errand.worker, errand.life);
   tell(Event::leg_failed, errand.worker + " " + kind_row(kind).name + " " + why);
   bool const may_repeat = errand.safe || !errand.left || !guard(Guard::never_repeat);
-  bool const again = !errand.begun && may_repeat && !draining && errand.legs < errand.lane->policy.tries && now < errand.due + errand.lane->policy.answer && (bucket >= 1.0 || !guard(Guard::bucket));
+  bool const again = !errand.begun && may_repeat && !draining && errand.legs < errand.lane->policy.tries &&
+                     now < errand.due + errand.lane->policy.answer && (bucket >= 1.0 || !guard(Guard::bucket));
   if (again) {
     Choice const choice = select(errand, 0, now, true);
     if (choice.say == Say::go) return go(errand, choice, now, out);
--- a/src/flow/errand/desk.h
+++ b/src/flow/errand/desk.h
@@ -51,8 +51,8 @@
   std::vector<Start> starts;
   std::vector<Verdict> ends;
   std::vector<std::pair<std::string, std::uint64_t>> doubts;  // workers, with their life, whose wires broke
-  std::vector<std::string> asks;     // workers that must answer before they are sent more
-  std::vector<std::uint64_t> drops;  // legs to cut because their caller has gone
+  std::vector<std::string> asks;                              // workers that must answer before they are sent more
+  std::vector<std::uint64_t> drops;                           // legs to cut because their caller has gone
 };
 
 struct Tally {
@@ -74,8 +74,8 @@
   void nodes(std::set<std::string> names_) { names = std::move(names_); }
 
   void fresh(std::uint64_t id, Ask ask, Micros now, DeskOut& out);
-  void sent(std::uint64_t id);                     // a byte may have left
-  void began(std::uint64_t id);                    // a byte was forwarded to the caller
+  void sent(std::uint64_t id);   // a byte may have left
+  void began(std::uint64_t id);  // a byte was forwarded to the caller
   void ended(std::uint64_t id, LegEnd end, std::string const& why, Micros back, Micros now, DeskOut& out);
   void hung_up(std::uint64_t id, Micros now, DeskOut& out);
   void work(Micros now, DeskOut& out);  // looks through the backlog
@@ -98,7 +98,7 @@
     bool safe = false;
     int legs = 0;
     Ran ran = Ran::no;
-    bool left = false;   // a byte of this leg may have left
+    bool left = false;  // a byte of this leg may have left
     bool begun = false;
     std::string worker;
     std::uint64_t life = 0;  // of the worker
--- a/src/flow/errand/parse.cc
+++ b/src/flow/errand/parse.cc
@@ -27,10 +27,12 @@
   if (!root.is_object()) return fail(Kind::bad_request, "the body is not an object");
   Ask out;
   std::string_view text;
-  if (root["model"].get_string().get(text) || text.empty()) return fail(Kind::bad_request, "a model is needed", "$.model");
+  if (root["model"].get_string().get(text) || text.empty())
+    return fail(Kind::bad_request, "a model is needed", "$.model");
   out.facts.model = text;
   simdjson::dom::element item;
-  if (!root["stream"].get(item) && item.get_bool().get(out.facts.stream)) return fail(Kind::bad_request, "true or false is expected", "$.stream");
+  if (!root["stream"].get(item) && item.get_bool().get(out.facts.stream))
+    return fail(Kind::bad_request, "true or false is expected", "$.stream");
   if (!root["max_tokens"].get(item) && (item.get_int64().get(out.facts.output) || out.facts.output < 0))
     return fail(Kind::bad_request, "a whole number is expected", "$.max_tokens");
   if (!root["user"].get(item)) {
@@ -41,13 +43,15 @@
   std::string prompt;
   if (form == Form::chat) {
     simdjson::dom::array turns;
-    if (root["messages"].get_array().get(turns) || turns.size() == 0) return fail(Kind::bad_request, "messages are needed", "$.messages");
+    if (root["messages"].get_array().get(turns) || turns.size() == 0)
+      return fail(Kind::bad_request, "messages are needed", "$.messages");
     for (simdjson::dom::element const& turn : turns) {
       if (turn["role"].get_string().get(text)) return fail(Kind::bad_request, "a role is needed", "$.messages");
       prompt += text;
       prompt += '\n';
       simdjson::dom::element content;
-      if (turn["content"].get(content) || !add_content(content, prompt)) return fail(Kind::bad_request, "a content is needed", "$.messages");
+      if (turn["content"].get(content) || !add_content(content, prompt))
+        return fail(Kind::bad_request, "a content is needed", "$.messages");
       prompt += '\n';
     }
   } else {
--- a/src/flow/fleet/fleet.cc
+++ b/src/flow/fleet/fleet.cc
@@ -35,7 +35,8 @@
         !text_of(item, "pool", row.pool) || !text_of(item, "state", state) ||
         item["incarnation"].get_uint64().get(row.incarnation))
       return fail(Kind::bad_request, "a row of the list lacks a field");
-    if (state != "serving" && state != "leaving") return fail(Kind::bad_request, "a row of the list has the state " + state);
+    if (state != "serving" && state != "leaving")
+      return fail(Kind::bad_request, "a row of the list has the state " + state);
     if (!good_address(row.address)) return fail(Kind::bad_request, "a row of the list has the address " + row.address);
     if (!seen.insert(row.id).second) return fail(Kind::bad_request, "the list names " + row.id + " twice");
     row.leaving = state == "leaving";
@@ -150,7 +151,8 @@
     begin_life(worker, entry.incarnation);
   }
   // §4.3: an entry can end a life; only this node's own list or a new incarnation can undo that.
-  if (entry.incarnation == worker.row.incarnation && said != Standing::serving && worker.standing == Standing::serving) {
+  if (entry.incarnation == worker.row.incarnation && said != Standing::serving &&
+      worker.standing == Standing::serving) {
     worker.absent = said == Standing::gone;
     bury(worker, said);
   }
@@ -172,7 +174,8 @@
   }
 }
 
-void Fleet::vitals(std::string const& id, std::uint64_t life, Micros asked, std::optional<Vitals> const& report, bool refused, Micros now) {
+void Fleet::vitals(std::string const& id, std::uint64_t life, Micros asked, std::optional<Vitals> const& report,
+                   bool refused, Micros now) {
   Worker* const worker = find(id);
   if (worker == nullptr || life != worker->row.incarnation) return;
   if (!report) {
@@ -209,7 +212,8 @@
   }
 }
 
-std::int64_t Fleet::cold_share(Worker const& worker, std::int64_t bound, std::string const& self, std::set<std::string> const& names) const {
+std::int64_t Fleet::cold_share(Worker const& worker, std::int64_t bound, std::string const& self,
+                               std::set<std::string> const& names) const {
   std::int64_t const share = bound / static_cast<std::int64_t>(std::max<std::size_t>(1, names.size()));
   if (share > 0) return share;
   return static_cast<std::int64_t>(rendezvous_rank(worker.row.id, self, names)) < bound ? 1 : 0;
--- a/src/flow/fleet/fleet.h
+++ b/src/flow/fleet/fleet.h
@@ -32,27 +32,29 @@
 struct Worker {
   ListRow row;
   Standing standing = Standing::serving;
-  bool listed = false;        // in this node's last whole reading
-  int seen_again = 0;         // whole readings in a row that list it after it was gone
-  std::uint64_t buried = 0;   // incarnations up to this one take no more requests
-  bool absent = false;        // buried because it was not listed, not because it was leaving
-  bool dark = true;           // until it answers
-  bool ever = false;          // it has answered once
-  bool doubted = false;       // a wire to it broke; it is asked before it is sent anything more
+  bool listed = false;       // in this node's last whole reading
+  int seen_again = 0;        // whole readings in a row that list it after it was gone
+  std::uint64_t buried = 0;  // incarnations up to this one take no more requests
+  bool absent = false;       // buried because it was not listed, not because it was leaving
+  bool dark = true;          // until it answers
+  bool ever = false;         // it has answered once
+  bool doubted = false;      // a wire to it broke; it is asked before it is sent anything more
   Micros doubted_at = 0;
-  Micros awake = 0;           // as last reported
+  Micros awake = 0;  // as last reported
   int misses = 0;
-  std::int64_t demand = 0;    // as last reported
+  std::int64_t demand = 0;  // as last reported
   Micros reported = 0;
-  Micros woke = -1;           // when it woke or came back from the dark; -1: not known, so cold
-  std::multiset<Micros> legs; // this node's running legs, by their start
-  std::deque<Micros> sends;   // this node's sends within the last window
-  Micros confirmed = -1;      // when the last question was asked that this life answered
-  Micros asked = -1;          // since when an answer is awaited before more is sent
-  std::int64_t own_since() const { return static_cast<std::int64_t>(std::distance(legs.lower_bound(reported), legs.end())); }
-  std::uint64_t sent = 0;     // legs that this node ever began there
-  std::int64_t others = 0;    // legs of peers, as they told last
-  bool exact = false;         // every peer that may send has told lately
+  Micros woke = -1;            // when it woke or came back from the dark; -1: not known, so cold
+  std::multiset<Micros> legs;  // this node's running legs, by their start
+  std::deque<Micros> sends;    // this node's sends within the last window
+  Micros confirmed = -1;       // when the last question was asked that this life answered
+  Micros asked = -1;           // since when an answer is awaited before more is sent
+  std::int64_t own_since() const {
+    return static_cast<std::int64_t>(std::distance(legs.lower_bound(reported), legs.end()));
+  }
+  std::uint64_t sent = 0;   // legs that this node ever began there
+  std::int64_t others = 0;  // legs of peers, as they told last
+  bool exact = false;       // every peer that may send has told lately
   // §6.4: what all nodes told counts, when all told; else the late report counts too.
   std::int64_t guess() const {
     std::int64_t const told = others + static_cast<std::int64_t>(legs.size());
@@ -74,7 +76,8 @@
   void take_list(std::vector<ListRow> const& rows, Micros now);
   void take_entry(wire::EntryT const& entry, Micros now);
   // True when a dark worker came back or a life began.
-  void vitals(std::string const& id, std::uint64_t life, Micros asked, std::optional<Vitals> const& report, bool refused, Micros now);
+  void vitals(std::string const& id, std::uint64_t life, Micros asked, std::optional<Vitals> const& report,
+              bool refused, Micros now);
   // A wire to the worker broke, here or at a peer. True when that is news.
   bool doubt(std::string const& id, std::uint64_t life, Micros now);
   // Restores what entries hold as serving and this table lost (§4.4).
@@ -89,13 +92,17 @@
   std::vector<wire::EntryT> entries_for(std::set<std::string> const& owned) const;
 
   // For how long it is still cold, by what its pool says now; 0 when it is warm.
-  Micros cold_for(Worker const& worker, Micros span, Micros now) const { return worker.woke < 0 ? span : std::max<Micros>(0, worker.woke + span - now); }
+  Micros cold_for(Worker const& worker, Micros span, Micros now) const {
+    return worker.woke < 0 ? span : std::max<Micros>(0, worker.woke + span - now);
+  }
   // Whether this node may send to a cold worker now; 'names' are all nodes known that may send.
-  bool cold_room(Worker& worker, std::int64_t bound, std::string const& self, std::set<std::string> const& names, Micros now) const;
+  bool cold_room(Worker& worker, std::int64_t bound, std::string const& self, std::set<std::string> const& names,
+                 Micros now) const;
   // Whether this node has sent its share since the worker last answered: it may have ended and come back since.
   bool unsure(Worker const& worker, std::int64_t share) const;
   // How many sends this node has to a cold worker in one window.
-  std::int64_t cold_share(Worker const& worker, std::int64_t bound, std::string const& self, std::set<std::string> const& names) const;
+  std::int64_t cold_share(Worker const& worker, std::int64_t bound, std::string const& self,
+                          std::set<std::string> const& names) const;
   static constexpr Micros cold_window = millis(1250);  // a second, and a little for what the way adds or takes
 
   Worker* find(std::string const& id);
--- a/src/flow/index/index.h
+++ b/src/flow/index/index.h
@@ -27,7 +27,8 @@
 
   // A prompt was sent to a worker. Says what peers must be told: the deepest block that was known before,
   // and the hashes behind it.
-  wire::DeltaT touch(Path const& path, std::string const& worker, std::uint64_t incarnation, Bounds const& bounds, Micros now);
+  wire::DeltaT touch(Path const& path, std::string const& worker, std::uint64_t incarnation, Bounds const& bounds,
+                     Micros now);
   // A peer's choice. False when its base is not known here: then the tree must be pulled.
   bool apply(wire::DeltaT const& delta, Bounds const& bounds, Micros now);
   void forget(std::string const& worker);
@@ -46,8 +47,10 @@
  private:
   struct Crumb;
   struct Keep;
-  using ByAge = boost::intrusive::list_base_hook<boost::intrusive::tag<struct AgeTag>, boost::intrusive::link_mode<boost::intrusive::normal_link>>;
-  using ByCrumb = boost::intrusive::list_base_hook<boost::intrusive::tag<struct CrumbTag>, boost::intrusive::link_mode<boost::intrusive::normal_link>>;
+  using ByAge = boost::intrusive::list_base_hook<boost::intrusive::tag<struct AgeTag>,
+                                                 boost::intrusive::link_mode<boost::intrusive::normal_link>>;
+  using ByCrumb = boost::intrusive::list_base_hook<boost::intrusive::tag<struct CrumbTag>,
+                                                   boost::intrusive::link_mode<boost::intrusive::normal_link>>;
   struct Shelf;
   struct Keep : ByAge, ByCrumb {
     Crumb* crumb = nullptr;
--- a/src/flow/index/tide.cc
+++ b/src/flow/index/tide.cc
@@ -110,7 +110,8 @@
       // Pages hold a fixed count of crumbs, so that any page can be asked for on its own.
       constexpr std::size_t crumbs = page_bytes / 256;
       for (at = req->page * crumbs; at < shot.order.size() && page.list.size() < crumbs; ++at)
-        if (std::unique_ptr<wire::CrumbT> crumb = tree->second.crumb(shot.order[at], now)) page.list.push_back(std::move(crumb));
+        if (std::unique_ptr<wire::CrumbT> crumb = tree->second.crumb(shot.order[at], now))
+          page.list.push_back(std::move(crumb));
       page.last = at >= shot.order.size();
       if (page.last) shots.erase({from, req->pull});
     }
--- a/src/flow/index/tide.h
+++ b/src/flow/index/tide.h
@@ -21,8 +21,8 @@
   std::map<std::string, Index> const& all() const { return trees; }
   void queue(std::string const& model, wire::DeltaT delta);
   // Once a round: one batch for each model to each peer that serves it.
-  void round(Micros now, std::vector<std::pair<std::string, std::vector<std::string>>> const& peers, BoundsOf const& bounds,
-             std::vector<Letter>& out);
+  void round(Micros now, std::vector<std::pair<std::string, std::vector<std::string>>> const& peers,
+             BoundsOf const& bounds, std::vector<Letter>& out);
   void tick(Micros now, std::vector<std::string> const& peers, std::vector<Letter>& out);
   void take(std::string const& from, wire::BodyUnion const& body, Micros now, BoundsOf const& bounds,
             std::vector<std::string> const& peers, std::vector<Letter>& out);
@@ -46,7 +46,8 @@
     std::vector<std::uint64_t> order;
     Micros at = 0;
   };
-  void ask(std::string const& model, Pull& pull, Micros now, std::vector<std::string> const& peers, std::vector<Letter>& out);
+  void ask(std::string const& model, Pull& pull, Micros now, std::vector<std::string> const& peers,
+           std::vector<Letter>& out);
 
   Dice dice;
   std::map<std::string, Index> trees;
--- a/src/ground/events.cc
+++ b/src/ground/events.cc
@@ -44,8 +44,10 @@
 void tell(Event event, std::string const& detail) {
   if (quiet_now) return;
   switch (event) {
-#define EVENT(number, name, level, text) \
-  case Event::name: LOG(level) << speaker() << "E" << number << " " << text << (detail.empty() ? "" : ": ") << detail; break;
+#define EVENT(number, name, level, text)                                                               \
+  case Event::name:                                                                                    \
+    LOG(level) << speaker() << "E" << number << " " << text << (detail.empty() ? "" : ": ") << detail; \
+    break;
     PIPIT_EVENTS(EVENT)
 #undef EVENT
   }
--- a/src/ground/guards.h
+++ b/src/ground/guards.h
@@ -27,7 +27,7 @@
 #define GUARD(name, point, text) name,
   PIPIT_GUARDS(GUARD)
 #undef GUARD
-  none
+      none
 };
 
 struct GuardRow {
--- a/src/ground/jot.cc
+++ b/src/ground/jot.cc
@@ -8,11 +8,21 @@
   std::string out = "\"";
   for (char const c : raw) {
     switch (c) {
-      case '"': out += "\\\""; break;
-      case '\\': out += "\\\\"; break;
-      case '\n': out += "\\n"; break;
-      case '\r': out += "\\r"; break;
-      case '\t': out += "\\t"; break;
+      case '"':
+        out += "\\\"";
+        break;
+      case '\\':
+        out += "\\\\";
+        break;
+      case '\n':
+        out += "\\n";
+        break;
+      case '\r':
+        out += "\\r";
+        break;
+      case '\t':
+        out += "\\t";
+        break;
       default:
         if (static_cast<unsigned char>(c) < 0x20) {
           char spot[8];
--- a/src/ground/kinds.cc
+++ b/src/ground/kinds.cc
@@ -16,9 +16,12 @@
 
 char const* ran_word(Ran ran) {
   switch (ran) {
-    case Ran::no: return "no";
-    case Ran::yes: return "yes";
-    default: return "unknown";
+    case Ran::no:
+      return "no";
+    case Ran::yes:
+      return "yes";
+    default:
+      return "unknown";
   }
 }
 
--- a/src/ground/settings.cc
+++ b/src/ground/settings.cc
@@ -30,7 +30,9 @@
 bool good_name(std::string const& text) {
   if (text.empty() || text.size() > 64) return false;
   for (char const c : text)
-    if (!((c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.')) return false;
+    if (!((c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_' ||
+          c == '.'))
+      return false;
   return true;
 }
 }  // namespace
@@ -42,19 +44,19 @@
   std::string founders;
   std::int64_t drain = 10;
   std::int64_t body = 4096;
-  options::options_description keys(keeper ? "accord: a keeper of the description. Keys, as flags or in the settings file"
-                                           : "passage: a router node. Keys, as flags or in the settings file");
-  keys.add_options()
-      ("name", options::value(&out.name), "the node's name, unique in the cluster")
-      ("cluster", options::value(&out.cluster)->default_value("pipit"), "the cluster's name")
-      ("zone", options::value(&out.zone), "the zone it stands in")
-      ("mesh", options::value(&out.mesh), "IP:port on which peers reach it")
-      ("http", options::value(&out.http), "IP:port for callers and operators")
-      ("seeds", options::value(&seeds), "up to three IP:port of other nodes, with commas between")
-      ("log", options::value(&out.log), "a file for the log; standard output without it")
-      ("drain", options::value(&drain)->default_value(10), "seconds that a planned stop gives work in flight")
-      ("body", options::value(&body)->default_value(4096), "the largest body of a request, in KiB")
-      ("faults", options::value(&out.faults)->default_value(false), "allow fault points to be armed (tests only)");
+  options::options_description keys(keeper
+                                        ? "accord: a keeper of the description. Keys, as flags or in the settings file"
+                                        : "passage: a router node. Keys, as flags or in the settings file");
+  keys.add_options()("name", options::value(&out.name), "the node's name, unique in the cluster")(
+      "cluster", options::value(&out.cluster)->default_value("pipit"), "the cluster's name")(
+      "zone", options::value(&out.zone), "the zone it stands in")(
+      "mesh", options::value(&out.mesh), "IP:port on which peers reach it")("http", options::value(&out.http),
+                                                                            "IP:port for callers and operators")(
+      "seeds", options::value(&seeds), "up to three IP:port of other nodes, with commas between")(
+      "log", options::value(&out.log), "a file for the log; standard output without it")(
+      "drain", options::value(&drain)->default_value(10), "seconds that a planned stop gives work in flight")(
+      "body", options::value(&body)->default_value(4096), "the largest body of a request, in KiB")(
+      "faults", options::value(&out.faults)->default_value(false), "allow fault points to be armed (tests only)");
   if (keeper) {
     keys.add_options()("data", options::value(&out.data), "the data folder")(
         "founders", options::value(&founders), "names of the first keepers, with commas between");
@@ -88,21 +90,28 @@
   out.seeds = split(seeds);
   out.models = split(models);
   out.founders = split(founders);
-  if (!good_name(out.name)) return fail(Kind::bad_settings, "name: letters, digits, '-', '_' and '.', at most 64, are needed");
-  if (!good_name(out.zone)) return fail(Kind::bad_settings, "zone: letters, digits, '-', '_' and '.', at most 64, are needed");
-  if (!good_name(out.cluster)) return fail(Kind::bad_settings, "cluster: letters, digits, '-', '_' and '.', at most 64, are needed");
+  if (!good_name(out.name))
+    return fail(Kind::bad_settings, "name: letters, digits, '-', '_' and '.', at most 64, are needed");
+  if (!good_name(out.zone))
+    return fail(Kind::bad_settings, "zone: letters, digits, '-', '_' and '.', at most 64, are needed");
+  if (!good_name(out.cluster))
+    return fail(Kind::bad_settings, "cluster: letters, digits, '-', '_' and '.', at most 64, are needed");
   struct Row {
     char const* key;
     std::string const& value;
     bool needed;
   };
-  for (Row const& row : {Row{"mesh", out.mesh, true}, Row{"http", out.http, true}, Row{"platform", out.platform, !keeper}}) {
+  for (Row const& row :
+       {Row{"mesh", out.mesh, true}, Row{"http", out.http, true}, Row{"platform", out.platform, !keeper}}) {
     if (row.value.empty() && !row.needed) continue;
-    if (!good_address(row.value)) return fail(Kind::bad_settings, std::string(row.key) + ": '" + row.value + "' is not an IP number with a port from 1 to 65535");
+    if (!good_address(row.value))
+      return fail(Kind::bad_settings,
+                  std::string(row.key) + ": '" + row.value + "' is not an IP number with a port from 1 to 65535");
   }
   if (out.seeds.size() > 3) return fail(Kind::bad_settings, "seeds: at most three are taken");
   for (std::string const& seed : out.seeds)
-    if (!good_address(seed)) return fail(Kind::bad_settings, "seeds: '" + seed + "' is not an IP number with a port from 1 to 65535");
+    if (!good_address(seed))
+      return fail(Kind::bad_settings, "seeds: '" + seed + "' is not an IP number with a port from 1 to 65535");
   if (drain < 0 || drain > 600) return fail(Kind::bad_settings, "drain: from 0 to 600 seconds");
   if (body < 1 || body > 65536) return fail(Kind::bad_settings, "body: from 1 to 65536 KiB");
   out.drain = seconds(drain);
--- a/src/hull/disk/disk_task.cc
+++ b/src/hull/disk/disk_task.cc
@@ -14,7 +14,9 @@
 namespace pipit {
 
 namespace {
-std::string why(std::string const& what, std::string const& name) { return what + " " + name + ": " + std::strerror(errno); }
+std::string why(std::string const& what, std::string const& name) {
+  return what + " " + name + ": " + std::strerror(errno);
+}
 struct Handle {
   int fd;
   ~Handle() {
@@ -102,8 +104,13 @@
   return sync_folder();
 }
 
-DiskTask::DiskTask(std::unique_ptr<PosixDisk> disk_, std::unique_ptr<RingLog> ring_, std::function<void(bool, std::string)> done_)
-    : disk(std::move(disk_)), ring(std::move(ring_)), done(std::move(done_)), backlog(g_async_queue_new()), thread([this] { run(); }) {}
+DiskTask::DiskTask(std::unique_ptr<PosixDisk> disk_, std::unique_ptr<RingLog> ring_,
+                   std::function<void(bool, std::string)> done_)
+    : disk(std::move(disk_)),
+      ring(std::move(ring_)),
+      done(std::move(done_)),
+      backlog(g_async_queue_new()),
+      thread([this] { run(); }) {}
 
 DiskTask::~DiskTask() {
   g_async_queue_push(backlog, new Job{{}, true});
--- a/src/hull/disk/disk_task.h
+++ b/src/hull/disk/disk_task.h
@@ -27,7 +27,8 @@
 
 class DiskTask {
  public:
-  DiskTask(std::unique_ptr<PosixDisk> disk_, std::unique_ptr<RingLog> ring_, std::function<void(bool, std::string)> done_);
+  DiskTask(std::unique_ptr<PosixDisk> disk_, std::unique_ptr<RingLog> ring_,
+           std::function<void(bool, std::string)> done_);
   ~DiskTask();
   void save(wire::RecordT record);
 
--- a/src/hull/host.cc
+++ b/src/hull/host.cc
@@ -18,7 +18,8 @@
 constexpr guint tick_ms = 25;
 }  // namespace
 
-Host::Host(Settings settings_, Role role_, std::optional<wire::RecordT> slate, std::unique_ptr<PosixDisk> disk_, std::unique_ptr<RingLog> ring)
+Host::Host(Settings settings_, Role role_, std::optional<wire::RecordT> slate, std::unique_ptr<PosixDisk> disk_,
+           std::unique_ptr<RingLog> ring)
     : settings(std::move(settings_)), role(role_), loop(g_main_loop_new(nullptr, FALSE)) {
   NodePlan plan;
   plan.cluster = settings.cluster;
@@ -148,12 +149,18 @@
   if (spot != wire_names.end() && fires_for(Point::cut_out, spot->second)) return true;
   wire::Frame const* const seen = flatbuffers::GetSizePrefixedRoot<wire::Frame>(frame.data());
   switch (seen->body_type()) {
-    case wire::Body::Chosen: return fires(Point::spread_lost);
-    case wire::Body::Confirm: return fires(Point::confirm_lost);
-    case wire::Body::Deltas: return fires(Point::delta_lost);
-    case wire::Body::TreePage: return fires(Point::page_lost);
-    case wire::Body::Entries: return fires(Point::entries_lost);
-    default: return false;
+    case wire::Body::Chosen:
+      return fires(Point::spread_lost);
+    case wire::Body::Confirm:
+      return fires(Point::confirm_lost);
+    case wire::Body::Deltas:
+      return fires(Point::delta_lost);
+    case wire::Body::TreePage:
+      return fires(Point::page_lost);
+    case wire::Body::Entries:
+      return fires(Point::entries_lost);
+    default:
+      return false;
   }
 }
 
@@ -189,7 +196,8 @@
       legs->get(settings.platform, "/workers", millis(1500), [this](bool good, bool, std::string const& body) {
         std::optional<std::vector<ListRow>> rows;
         if (good) {
-          Result<std::vector<ListRow>> read = read_list(fires(Point::list_torn) ? body.substr(0, body.size() / 2) : body);
+          Result<std::vector<ListRow>> read =
+              read_list(fires(Point::list_torn) ? body.substr(0, body.size() / 2) : body);
           if (read) rows = std::move(read.value());
         }
         NodeOut more;
@@ -259,12 +267,15 @@
 }
 
 void Host::on_errand(Front::Call const& call, bool chat) {
-  if (call.body.size() > settings.body) return refuse(call.id, Fault{Kind::too_large, "a body has at most " + std::to_string(settings.body) + " bytes", ""});
+  if (call.body.size() > settings.body)
+    return refuse(call.id,
+                  Fault{Kind::too_large, "a body has at most " + std::to_string(settings.body) + " bytes", ""});
   Result<Ask> ask = parse_ask(call.body, chat ? Form::chat : Form::completion);
   if (!ask) return refuse(call.id, ask.error());
   ask.value().lane = call.header("X-Pipit-Lane");
   std::string const repeat = call.header("X-Pipit-Repeat");
-  if (!repeat.empty() && repeat != "safe" && repeat != "never") return refuse(call.id, Fault{Kind::bad_request, "X-Pipit-Repeat takes safe or never", ""});
+  if (!repeat.empty() && repeat != "safe" && repeat != "never")
+    return refuse(call.id, Fault{Kind::bad_request, "X-Pipit-Repeat takes safe or never", ""});
   ask.value().safe = repeat == "safe";
   Caller caller;
   caller.id = settings.name + "-" + std::to_string(node->plan.incarnation) + "-" + std::to_string(call.id);
@@ -303,11 +314,15 @@
     std::size_t const cut = rest.rfind('/');
     std::string const verb = cut == std::string::npos ? "" : rest.substr(cut + 1);
     change.text = rest.substr(0, cut);
-    if (verb == "empty") change.sort = Change::Sort::empty;
-    else if (verb == "refill") change.sort = Change::Sort::refill;
-    else return refuse(call.id, Fault{Kind::not_found, "", ""});
+    if (verb == "empty")
+      change.sort = Change::Sort::empty;
+    else if (verb == "refill")
+      change.sort = Change::Sort::refill;
+    else
+      return refuse(call.id, Fault{Kind::not_found, "", ""});
     if (call.method != "POST") return refuse(call.id, Fault{Kind::bad_method, "", ""});
-    if (!node->zone_known(change.text)) return refuse(call.id, Fault{Kind::unknown_zone, "nothing is known of the zone '" + change.text + "'", ""});
+    if (!node->zone_known(change.text))
+      return refuse(call.id, Fault{Kind::unknown_zone, "nothing is known of the zone '" + change.text + "'", ""});
   } else if (call.path.rfind("/v1/changes/", 0) == 0 && call.method == "GET") {
     change.sort = Change::Sort::read;
     asked[call.id] = {change.sort, call.path.substr(12)};
@@ -341,7 +356,10 @@
   if (what.first == Change::Sort::read && what.second.empty()) {
     std::string emptied;
     for (std::string const& zone : value.emptied) emptied += (emptied.empty() ? "" : ",") + zone;
-    return front->answer(item.id, 200, "application/json", value.text, {{"X-Pipit-Serial", std::to_string(value.serial)}, {"X-Pipit-Emptied", emptied}, {"ETag", std::to_string(value.serial)}});
+    return front->answer(item.id, 200, "application/json", value.text,
+                         {{"X-Pipit-Serial", std::to_string(value.serial)},
+                          {"X-Pipit-Emptied", emptied},
+                          {"ETag", std::to_string(value.serial)}});
   }
   if (what.first == Change::Sort::read) {
     std::uint64_t const serial = Proposer::serial_of(value, what.second);
@@ -351,7 +369,11 @@
     return front->answer(item.id, 200, "application/json", jot.take());
   }
   Jot jot;
-  jot.open().key("serial").number(static_cast<std::int64_t>(outcome.serial > 0 ? outcome.serial : value.serial)).key("change").text(item.change);
+  jot.open()
+      .key("serial")
+      .number(static_cast<std::int64_t>(outcome.serial > 0 ? outcome.serial : value.serial))
+      .key("change")
+      .text(item.change);
   jot.key("changed").truth(outcome.sort == Outcome::Sort::chosen);
   if (what.first == Change::Sort::empty) {
     jot.key("unconfirmed").list();
@@ -364,9 +386,11 @@
 
 void Host::on_fault(Front::Call const& call) {
   // A test's door: {"point": 1} with the argument and the count in the query.
-  unsigned const number = static_cast<unsigned>(std::strtoul(call.query.count("point") ? call.query.at("point").c_str() : "0", nullptr, 10));
+  unsigned const number = static_cast<unsigned>(
+      std::strtoul(call.query.count("point") ? call.query.at("point").c_str() : "0", nullptr, 10));
   std::string const arg = call.query.count("arg") ? call.query.at("arg") : "";
-  std::uint64_t const times = call.query.count("times") ? std::strtoull(call.query.at("times").c_str(), nullptr, 10) : 0;
+  std::uint64_t const times =
+      call.query.count("times") ? std::strtoull(call.query.at("times").c_str(), nullptr, 10) : 0;
   if (call.method == "GET") {
     Jot jot;
     jot.open().key("fired").number(static_cast<std::int64_t>(fault_count(static_cast<Point>(number)))).shut();
@@ -390,10 +414,20 @@
   jot.key("peers").list();
   for (std::pair<std::string const, Peer> const& item : node->mesh.roll.peers) {
     Peer const& peer = item.second;
-    jot.open().key("name").text(item.first).key("state").text(state_word(peer.state())).key("wire").truth(peer.wire != 0);
+    jot.open()
+        .key("name")
+        .text(item.first)
+        .key("state")
+        .text(state_word(peer.state()))
+        .key("wire")
+        .truth(peer.wire != 0);
     jot.key("role").text(peer.role() == Role::passage ? "passage" : "accord").key("zone").text(peer.member.zone);
     jot.key("http").text(peer.member.http);
-    jot.key("serial").number(static_cast<std::int64_t>(peer.member.serial)).key("ready").truth(peer.member.ready).shut();
+    jot.key("serial")
+        .number(static_cast<std::int64_t>(peer.member.serial))
+        .key("ready")
+        .truth(peer.member.ready)
+        .shut();
   }
   jot.unlist().key("workers").list();
   for (std::pair<std::string const, Worker> const& item : node->fleet.workers) {
@@ -444,9 +478,12 @@
       {"pipit_under_way", "gauge", node->under_way()},
       {"pipit_wires", "gauge", node->mesh.wires_open()},
   };
-  for (Row const& row : rows) out += std::string("# TYPE ") + row.name + " " + row.sort + "\n" + row.name + " " + std::to_string(row.value) + "\n";
+  for (Row const& row : rows)
+    out +=
+        std::string("# TYPE ") + row.name + " " + row.sort + "\n" + row.name + " " + std::to_string(row.value) + "\n";
   out += "# TYPE pipit_answers_total counter\n";
-  for (std::pair<std::string const, std::uint64_t> const& item : kinds) out += "pipit_answers_total{kind=\"" + item.first + "\"} " + std::to_string(item.second) + "\n";
+  for (std::pair<std::string const, std::uint64_t> const& item : kinds)
+    out += "pipit_answers_total{kind=\"" + item.first + "\"} " + std::to_string(item.second) + "\n";
   return out;
 }
 
@@ -476,9 +513,10 @@
   } else {
     Settings const& s = fresh.value();
     // What a process is cannot change while it lives; what it allows can.
-    if (s.name != settings.name || s.cluster != settings.cluster || s.zone != settings.zone || s.mesh != settings.mesh ||
-        s.http != settings.http || s.data != settings.data || s.founders != settings.founders || s.models != settings.models ||
-        s.seeds != settings.seeds || s.faults != settings.faults || s.log != settings.log)
+    if (s.name != settings.name || s.cluster != settings.cluster || s.zone != settings.zone ||
+        s.mesh != settings.mesh || s.http != settings.http || s.data != settings.data ||
+        s.founders != settings.founders || s.models != settings.models || s.seeds != settings.seeds ||
+        s.faults != settings.faults || s.log != settings.log)
       why = "only platform, drain and body can change without a restart";
   }
   if (!why.empty()) {
@@ -499,7 +537,9 @@
         NodeOut out;
         host.node->tick(now(), out);
         host.act(out);
-        if (host.drain_until >= 0 && ((host.node->under_way() == 0 && host.front->open() == 0) || now() >= host.drain_until)) g_main_loop_quit(host.loop);
+        if (host.drain_until >= 0 &&
+            ((host.node->under_way() == 0 && host.front->open() == 0) || now() >= host.drain_until))
+          g_main_loop_quit(host.loop);
         return G_SOURCE_CONTINUE;
       },
       this);
@@ -553,14 +593,16 @@
     ring = std::make_unique<RingLog>(*disk, settings.value().cluster, settings.value().name);
     Result<void> const locked = disk->lock();
     bool blank = false;
-    std::uint64_t const fresh = stir(static_cast<std::uint64_t>(g_get_real_time()) ^ (static_cast<std::uint64_t>(g_random_int()) << 32));
+    std::uint64_t const fresh =
+        stir(static_cast<std::uint64_t>(g_get_real_time()) ^ (static_cast<std::uint64_t>(g_random_int()) << 32));
     Result<wire::RecordT> opened = locked ? ring->open(fresh, blank) : Result<wire::RecordT>(locked.as_failure());
     if (!opened) {
       std::fprintf(stderr, "accord: data: %s\n", opened.error().why.c_str());
       return 2;
     }
     slate = std::move(opened.value());
-    tell(blank ? Event::keeper_blank : Event::keeper_back, "serial " + std::to_string(slate->value ? slate->value->serial : 0));
+    tell(blank ? Event::keeper_blank : Event::keeper_back,
+         "serial " + std::to_string(slate->value ? slate->value->serial : 0));
   }
   Host host(std::move(settings.value()), role, std::move(slate), std::move(disk), std::move(ring));
   Result<void> const listening = host.listen();
--- a/src/hull/host.h
+++ b/src/hull/host.h
@@ -15,7 +15,8 @@
 
 class Host {
  public:
-  Host(Settings settings_, Role role, std::optional<wire::RecordT> slate, std::unique_ptr<PosixDisk> disk, std::unique_ptr<RingLog> ring);
+  Host(Settings settings_, Role role, std::optional<wire::RecordT> slate, std::unique_ptr<PosixDisk> disk,
+       std::unique_ptr<RingLog> ring);
   ~Host();
   Result<void> listen();
   // Returns the exit code once the process is to end.
--- a/src/hull/http/front.cc
+++ b/src/hull/http/front.cc
@@ -8,8 +8,8 @@
 namespace pipit {
 
 namespace {
-constexpr guint body_ms = 10000;        // within which a caller's body must have come
-constexpr guint stuck_ms = 20000;       // for how long a caller may take nothing of what waits for it
+constexpr guint body_ms = 10000;   // within which a caller's body must have come
+constexpr guint stuck_ms = 20000;  // for how long a caller may take nothing of what waits for it
 constexpr std::size_t waiting_most = 8u << 20;
 }  // namespace
 
@@ -85,7 +85,8 @@
   held->id = ++host.next;
   held->message = SOUP_SERVER_MESSAGE(g_object_ref(message));
   g_object_set_data(G_OBJECT(message), "pipit", held.get());
-  soup_server_message_get_remote_address(message);  // kept by libsoup, which else asks a socket that may be shut by then
+  soup_server_message_get_remote_address(
+      message);  // kept by libsoup, which else asks a socket that may be shut by then
   g_signal_connect(message, "finished", G_CALLBACK(on_finished), held.get());
   host.calls.emplace(held->id, std::move(held));
 }
@@ -100,14 +101,14 @@
       soup_message_headers_get_content_length(head) > static_cast<goffset>(host.body_most)) {
     ++host.broken;
     held->called = true;
-    Answer const out = answer_for(Fault{Kind::too_large, "a body has at most " + std::to_string(host.body_most) + " bytes", ""});
+    Answer const out =
+        answer_for(Fault{Kind::too_large, "a body has at most " + std::to_string(host.body_most) + " bytes", ""});
     soup_message_headers_replace(soup_server_message_get_response_headers(message), "Connection", "close");
     host.answer(held->id, out);
     return;
   }
   // A body without a stated length is counted as it comes.
-  g_signal_connect(message, "got-chunk",
-                   G_CALLBACK(+[](SoupServerMessage*, GBytes* chunk, gpointer data) {
+  g_signal_connect(message, "got-chunk", G_CALLBACK(+[](SoupServerMessage*, GBytes* chunk, gpointer data) {
                      Held* const item = static_cast<Held*>(data);
                      item->put += g_bytes_get_size(chunk);
                      if (item->put > item->host->body_most && !item->called) {
@@ -161,7 +162,8 @@
     gpointer key = nullptr;
     gpointer value = nullptr;
     g_hash_table_iter_init(&it, query);
-    while (g_hash_table_iter_next(&it, &key, &value)) call.query[static_cast<char const*>(key)] = value == nullptr ? "" : static_cast<char const*>(value);
+    while (g_hash_table_iter_next(&it, &key, &value))
+      call.query[static_cast<char const*>(key)] = value == nullptr ? "" : static_cast<char const*>(value);
   }
   host.ears.call(call);
 }
@@ -215,14 +217,16 @@
   g_object_unref(message);
 }
 
-void Front::answer(std::uint64_t id, unsigned status, std::string const& type, std::string const& body, std::map<std::string, std::string> const& more) {
+void Front::answer(std::uint64_t id, unsigned status, std::string const& type, std::string const& body,
+                   std::map<std::string, std::string> const& more) {
   std::map<std::uint64_t, std::unique_ptr<Held>>::iterator const spot = calls.find(id);
   if (spot == calls.end()) return;
   Held& held = *spot->second;
   held.answered = true;
   held.unwatch();
   SoupMessageHeaders* const head = soup_server_message_get_response_headers(held.message);
-  for (std::pair<std::string const, std::string> const& item : more) soup_message_headers_replace(head, item.first.c_str(), item.second.c_str());
+  for (std::pair<std::string const, std::string> const& item : more)
+    soup_message_headers_replace(head, item.first.c_str(), item.second.c_str());
   if (last_calls) soup_message_headers_replace(head, "Connection", "close");
   soup_server_message_set_status(held.message, status, nullptr);
   soup_server_message_set_response(held.message, type.c_str(), SOUP_MEMORY_COPY, body.data(), body.size());
@@ -253,7 +257,8 @@
     soup_message_headers_replace(head, "Content-Type", "text/event-stream");
     soup_message_headers_replace(head, "Cache-Control", "no-cache");
     if (last_calls) soup_message_headers_replace(head, "Connection", "close");
-    for (std::pair<std::string const, std::string> const& item : more) soup_message_headers_replace(head, item.first.c_str(), item.second.c_str());
+    for (std::pair<std::string const, std::string> const& item : more)
+      soup_message_headers_replace(head, item.first.c_str(), item.second.c_str());
     soup_message_body_set_accumulate(body, FALSE);
   }
   soup_message_body_append(body, SOUP_MEMORY_COPY, bytes.data(), bytes.size());
--- a/src/hull/http/front.h
+++ b/src/hull/http/front.h
@@ -31,7 +31,8 @@
   ~Front();
 
   Result<void> listen(std::string const& address);
-  void answer(std::uint64_t id, unsigned status, std::string const& type, std::string const& body, std::map<std::string, std::string> const& more = {});
+  void answer(std::uint64_t id, unsigned status, std::string const& type, std::string const& body,
+              std::map<std::string, std::string> const& more = {});
   void answer(std::uint64_t id, Answer const& answer);
   // A stream: a head, pieces, and its end; or a last piece after which the body is broken off.
   void piece(std::uint64_t id, std::string const& bytes, std::map<std::string, std::string> const& more = {});
--- a/src/hull/http/legs.cc
+++ b/src/hull/http/legs.cc
@@ -13,7 +13,8 @@
 
 SoupSession* make_session(int most) {
   // §7.3: what libsoup does by itself is switched off: proxies, cookies, cached or shared wires.
-  SoupSession* const out = soup_session_new_with_options("max-conns", most, "max-conns-per-host", most, "timeout", 0, "idle-timeout", 20, "proxy-resolver", nullptr, nullptr);
+  SoupSession* const out = soup_session_new_with_options("max-conns", most, "max-conns-per-host", most, "timeout", 0,
+                                                         "idle-timeout", 20, "proxy-resolver", nullptr, nullptr);
   return out;
 }
 }  // namespace
@@ -73,7 +74,8 @@
   return G_SOURCE_REMOVE;
 }
 
-void Legs::start(Start const& start, std::string const& id, std::string const& path, std::string const& body, bool stream) {
+void Legs::start(Start const& start, std::string const& id, std::string const& path, std::string const& body,
+                 bool stream) {
   std::shared_ptr<Leg> const leg = std::make_shared<Leg>();
   leg->host = this;
   leg->start = start;
@@ -94,7 +96,8 @@
     return;
   }
   // A wire of its own for each leg: libsoup repeats a request by itself only on a wire that was used before.
-  soup_message_set_flags(leg->message, static_cast<SoupMessageFlags>(SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_NEW_CONNECTION));
+  soup_message_set_flags(leg->message,
+                         static_cast<SoupMessageFlags>(SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_NEW_CONNECTION));
   SoupMessageHeaders* const head = soup_message_get_request_headers(leg->message);
   soup_message_headers_replace(head, "X-Request-Id", id.c_str());
   soup_message_headers_replace(head, "Connection", "close");
@@ -147,18 +150,24 @@
     Micros const back = after != nullptr ? seconds(std::min(3600L, std::max(0L, std::strtol(after, nullptr, 10)))) : 0;
     // §7.3: 429 is a refusal before running by its meaning; 503 is one only when it says when to come back.
     bool const refused = status == 429 || (status == 503 && after != nullptr);
-    return leg.host->finish(leg, refused ? LegEnd::refused : status >= 500 ? LegEnd::failed : LegEnd::wrong, "status " + std::to_string(status), back);
+    return leg.host->finish(leg,
+                            refused         ? LegEnd::refused
+                            : status >= 500 ? LegEnd::failed
+                                            : LegEnd::wrong,
+                            "status " + std::to_string(status), back);
   }
   char const* const sort = soup_message_headers_get_content_type(head, nullptr);
   std::string const want = leg.stream ? "text/event-stream" : "application/json";
-  if (sort == nullptr || want != sort) return leg.host->finish(leg, LegEnd::wrong, std::string("content type ") + (sort == nullptr ? "none" : sort));
+  if (sort == nullptr || want != sort)
+    return leg.host->finish(leg, LegEnd::wrong, std::string("content type ") + (sort == nullptr ? "none" : sort));
   leg.host->read_more(leg);
 }
 
 void Legs::read_more(Leg& leg) {
   std::map<std::uint64_t, std::shared_ptr<Leg>>::iterator const spot = legs.find(leg.start.errand);
   if (spot == legs.end() || spot->second.get() != &leg) return;
-  g_input_stream_read_async(leg.body, leg.room, sizeof leg.room, G_PRIORITY_DEFAULT, leg.stop, on_body, new std::shared_ptr<Leg>(spot->second));
+  g_input_stream_read_async(leg.body, leg.room, sizeof leg.room, G_PRIORITY_DEFAULT, leg.stop, on_body,
+                            new std::shared_ptr<Leg>(spot->second));
 }
 
 void Legs::on_body(GObject* source, GAsyncResult* result, gpointer data) {
@@ -216,11 +225,13 @@
     Piece const piece = parse_piece(leg.whole);
     if (!piece.json) return finish(leg, LegEnd::torn, "the answer is not whole JSON");
     if (piece.error) return finish(leg, LegEnd::wrong, "the worker reports an error");
-    if (piece.id.find(leg.id) == std::string::npos) return finish(leg, LegEnd::wrong, "the answer to another request: " + piece.id);
+    if (piece.id.find(leg.id) == std::string::npos)
+      return finish(leg, LegEnd::wrong, "the answer to another request: " + piece.id);
     ears.whole(leg.start.errand, std::move(leg.whole));
     return finish(leg, LegEnd::done, "");
   }
-  if (!leg.closed || leg.pieces.rest()) return finish(leg, leg.events == 0 ? LegEnd::broke : LegEnd::torn, "the stream ended before its end");
+  if (!leg.closed || leg.pieces.rest())
+    return finish(leg, leg.events == 0 ? LegEnd::broke : LegEnd::torn, "the stream ended before its end");
   finish(leg, LegEnd::done, "");
 }
 
@@ -242,8 +253,10 @@
   std::function<void(bool, bool, std::string const&)> done;
 };
 
-void Legs::get(std::string const& address, std::string const& path, Micros within, std::function<void(bool, bool, std::string const&)> done) {
-  Fetch* const fetch = new Fetch{soup_message_new("GET", ("http://" + address + path).c_str()), g_cancellable_new(), 0, std::move(done)};
+void Legs::get(std::string const& address, std::string const& path, Micros within,
+               std::function<void(bool, bool, std::string const&)> done) {
+  Fetch* const fetch =
+      new Fetch{soup_message_new("GET", ("http://" + address + path).c_str()), g_cancellable_new(), 0, std::move(done)};
   soup_message_set_flags(fetch->message, SOUP_MESSAGE_NO_REDIRECT);
   fetch->timer = g_timeout_add(
       static_cast<guint>(within / 1000),
--- a/src/hull/http/legs.h
+++ b/src/hull/http/legs.h
@@ -29,7 +29,8 @@
   std::size_t open() const { return legs.size(); }
 
   // One small GET, for lists and vitals; the answer is nullopt when it failed.
-  void get(std::string const& address, std::string const& path, Micros within, std::function<void(bool good, bool refused, std::string const& body)> done);
+  void get(std::string const& address, std::string const& path, Micros within,
+           std::function<void(bool good, bool refused, std::string const& body)> done);
 
  private:
   struct Leg;
--- a/src/hull/http/talk.cc
+++ b/src/hull/http/talk.cc
@@ -4,12 +4,15 @@
 
 namespace pipit {
 
-Got talk(char const* method, std::string const& address, std::string const& path, std::string const* body, std::string const& expected) {
+Got talk(char const* method, std::string const& address, std::string const& path, std::string const* body,
+         std::string const& expected) {
   Got out;
   SoupSession* const session = soup_session_new_with_options("timeout", 10, "proxy-resolver", nullptr, nullptr);
   SoupMessage* const message = soup_message_new(method, ("http://" + address + path).c_str());
-  soup_message_set_flags(message, static_cast<SoupMessageFlags>(SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_NEW_CONNECTION));
-  if (!expected.empty()) soup_message_headers_replace(soup_message_get_request_headers(message), "If-Match", expected.c_str());
+  soup_message_set_flags(message,
+                         static_cast<SoupMessageFlags>(SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_NEW_CONNECTION));
+  if (!expected.empty())
+    soup_message_headers_replace(soup_message_get_request_headers(message), "If-Match", expected.c_str());
   if (body != nullptr) {
     GBytes* const bytes = g_bytes_new(body->data(), body->size());
     soup_message_set_request_body_from_bytes(message, "application/json", bytes);
@@ -28,7 +31,8 @@
       char const* name;
       std::string& slot;
     };
-    for (Row const& row : {Row{"X-Pipit-Serial", out.serial}, Row{"X-Pipit-Emptied", out.emptied}, Row{"X-Pipit-Change", out.change}})
+    for (Row const& row :
+         {Row{"X-Pipit-Serial", out.serial}, Row{"X-Pipit-Emptied", out.emptied}, Row{"X-Pipit-Change", out.change}})
       if (char const* const value = soup_message_headers_get_one(head, row.name)) row.slot = value;
   } else {
     out.why = error->message;
--- a/src/hull/http/talk.h
+++ b/src/hull/http/talk.h
@@ -13,8 +13,10 @@
   std::string why;
 };
 
-Got talk(char const* method, std::string const& address, std::string const& path, std::string const* body, std::string const& expected);
-// The tools' exit codes: 0 done, 1 refused, 2 bad input, 3 outcome unknown, 4 not reached or no majority, 5 not confirmed.
+Got talk(char const* method, std::string const& address, std::string const& path, std::string const* body,
+         std::string const& expected);
+// The tools' exit codes: 0 done, 1 refused, 2 bad input, 3 outcome unknown, 4 not reached or no majority, 5 not
+// confirmed.
 int code_of(Got const& got);
 
 }  // namespace pipit
--- a/src/hull/wire/wires.cc
+++ b/src/hull/wire/wires.cc
@@ -66,7 +66,8 @@
   GSocketAddress* const spot = g_inet_socket_address_new(host, port);
   g_object_unref(host);
   GError* error = nullptr;
-  bool const good = g_socket_listener_add_address(G_SOCKET_LISTENER(service), spot, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, &error);
+  bool const good = g_socket_listener_add_address(G_SOCKET_LISTENER(service), spot, G_SOCKET_TYPE_STREAM,
+                                                  G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, &error);
   g_object_unref(spot);
   if (!good) {
     std::string const why = error->message;
@@ -103,7 +104,8 @@
   g_clear_object(const_cast<GInetAddress**>(&own));
   GInetAddress* const number = g_inet_address_new_from_string(host.c_str());
   GSocketAddress* const spot = g_inet_socket_address_new(number, port);
-  g_socket_client_connect_async(client, G_SOCKET_CONNECTABLE(spot), nullptr, on_dialled, new Dialling{this, alive, address});
+  g_socket_client_connect_async(client, G_SOCKET_CONNECTABLE(spot), nullptr, on_dialled,
+                                new Dialling{this, alive, address});
   g_object_unref(number);
   g_object_unref(spot);
   g_object_unref(client);
@@ -145,7 +147,8 @@
 void Wires::read_more(Wire& wire) {
   std::map<WireId, std::shared_ptr<Wire>>::iterator const spot = wires.find(wire.id);
   if (spot == wires.end()) return;
-  g_input_stream_read_async(g_io_stream_get_input_stream(G_IO_STREAM(wire.link)), wire.room, sizeof wire.room, G_PRIORITY_DEFAULT, wire.stop, on_read, new std::shared_ptr<Wire>(spot->second));
+  g_input_stream_read_async(g_io_stream_get_input_stream(G_IO_STREAM(wire.link)), wire.room, sizeof wire.room,
+                            G_PRIORITY_DEFAULT, wire.stop, on_read, new std::shared_ptr<Wire>(spot->second));
 }
 
 void Wires::on_read(GObject* source, GAsyncResult* result, gpointer data) {
@@ -189,7 +192,9 @@
     wire.out[0] += second;
     wire.out.erase(wire.out.begin() + 1);
   }
-  g_output_stream_write_all_async(g_io_stream_get_output_stream(G_IO_STREAM(wire.link)), wire.out.front().data(), wire.out.front().size(), G_PRIORITY_DEFAULT, wire.stop, on_written, new std::shared_ptr<Wire>(wires[wire.id]));
+  g_output_stream_write_all_async(g_io_stream_get_output_stream(G_IO_STREAM(wire.link)), wire.out.front().data(),
+                                  wire.out.front().size(), G_PRIORITY_DEFAULT, wire.stop, on_written,
+                                  new std::shared_ptr<Wire>(wires[wire.id]));
 }
 
 void Wires::on_written(GObject* source, GAsyncResult* result, gpointer data) {
--- a/src/kin/frame.cc
+++ b/src/kin/frame.cc
@@ -19,7 +19,8 @@
   std::size_t const size = announced(bytes);
   if (size == 0 || size + 4 != bytes.size()) return fail(Kind::bad_request, "the frame's length is wrong");
   flatbuffers::Verifier check(reinterpret_cast<std::uint8_t const*>(bytes.data()), bytes.size(), 16, 2000000);
-  if (!check.VerifySizePrefixedBuffer<wire::Frame>(nullptr)) return fail(Kind::bad_request, "the frame does not verify");
+  if (!check.VerifySizePrefixedBuffer<wire::Frame>(nullptr))
+    return fail(Kind::bad_request, "the frame does not verify");
   std::unique_ptr<wire::FrameT> frame(flatbuffers::GetSizePrefixedRoot<wire::Frame>(bytes.data())->UnPack());
   if (frame->body.type == wire::Body::NONE || frame->body.value == nullptr)
     return fail(Kind::bad_request, "the frame has no body");
--- a/src/kin/ledger/ledger.cc
+++ b/src/kin/ledger/ledger.cc
@@ -26,8 +26,10 @@
   if (spot != items.end() && spot->second.owner == self && same(spot->second, item)) return false;
   item.owner = self;
   item.stamp = ++clock;
-  if (passing(item)) gone_at[item.key] = now;
-  else gone_at.erase(item.key);
+  if (passing(item))
+    gone_at[item.key] = now;
+  else
+    gone_at.erase(item.key);
   owe("", item.key, item.stamp);
   items[item.key] = std::move(item);
   return true;
@@ -37,11 +39,12 @@
   if (item.key.empty() || item.state > 2) return false;
   clock = std::max(clock, item.stamp);
   std::map<std::string, wire::EntryT>::iterator const spot = items.find(item.key);
-  if (spot != items.end() &&
-      std::tie(spot->second.stamp, spot->second.owner) >= std::tie(item.stamp, item.owner))
+  if (spot != items.end() && std::tie(spot->second.stamp, spot->second.owner) >= std::tie(item.stamp, item.owner))
     return false;
-  if (passing(item)) gone_at[item.key] = now;
-  else gone_at.erase(item.key);
+  if (passing(item))
+    gone_at[item.key] = now;
+  else
+    gone_at.erase(item.key);
   items[item.key] = item;
   owe(from, item.key, item.stamp);
   return true;
@@ -50,7 +53,8 @@
 void Ledger::owe_all(std::string const& peer) {
   Debt& debt = owed[peer];
   debt.flying.clear();
-  for (std::pair<std::string const, wire::EntryT> const& item : items) debt.keys[item.first] = Owed{item.second.stamp, false};
+  for (std::pair<std::string const, wire::EntryT> const& item : items)
+    debt.keys[item.first] = Owed{item.second.stamp, false};
 }
 
 wire::EntriesT Ledger::batch(std::string const& peer, bool again) {
--- a/src/kin/mesh.cc
+++ b/src/kin/mesh.cc
@@ -202,7 +202,8 @@
       it->second.due = now + plan.probe;
       // §3.4: a wire that stayed silent through a direct probe is given up and dialled anew, while others ask too.
       std::map<std::string, Peer>::const_iterator const who = roll.peers.find(name);
-      if (who != roll.peers.end() && who->second.wire != 0 && now - wires[who->second.wire].heard > plan.quiet) drop(who->second.wire, now, out);
+      if (who != roll.peers.end() && who->second.wire != 0 && now - wires[who->second.wire].heard > plan.quiet)
+        drop(who->second.wire, now, out);
       std::vector<std::string> hands;
       for (std::pair<std::string const, Peer> const& item : roll.peers)
         if (item.first != name && item.second.wire != 0 && item.second.state() == State::alive)
@@ -229,7 +230,9 @@
     it = now >= it->second.due ? relays.erase(it) : std::next(it);
 
   for (std::pair<std::string const, Peer>& item : roll.peers)
-    if (item.second.wire != 0 && item.second.state() == State::alive && now - wires[item.second.wire].heard > plan.quiet) probe(item.second, now, out);
+    if (item.second.wire != 0 && item.second.state() == State::alive &&
+        now - wires[item.second.wire].heard > plan.quiet)
+      probe(item.second, now, out);
   if (now >= next_round) {
     next_round = now + plan.round;
     std::vector<Peer*> field;
@@ -318,7 +321,8 @@
     // A peer that lives anew cannot have the wire of its former life.
     if (news != Roll::News::fresh) continue;
     std::map<std::string, Peer>::const_iterator const who = roll.peers.find(item->name);
-    if (who != roll.peers.end() && who->second.wire != 0 && wires[who->second.wire].life < item->incarnation) drop(who->second.wire, now, out);
+    if (who != roll.peers.end() && who->second.wire != 0 && wires[who->second.wire].life < item->incarnation)
+      drop(who->second.wire, now, out);
   }
 }
 
@@ -376,7 +380,9 @@
       if (res.ok) probe_done(res.seq, now);
       return "";
     }
-    case wire::Body::News: take_table(frame.body.AsNews()->table, now, out); return "";
+    case wire::Body::News:
+      take_table(frame.body.AsNews()->table, now, out);
+      return "";
     case wire::Body::Entries: {
       wire::EntriesT const& list = *frame.body.AsEntries();
       for (std::unique_ptr<wire::EntryT> const& item : list.list)
@@ -387,8 +393,11 @@
       if (!fresh.empty()) flush_entries(out);
       return "";
     }
-    case wire::Body::EntriesAck: ledger.acked(name, frame.body.AsEntriesAck()->batch); return "";
-    default: return name;
+    case wire::Body::EntriesAck:
+      ledger.acked(name, frame.body.AsEntriesAck()->batch);
+      return "";
+    default:
+      return name;
   }
 }
 
--- a/src/kin/mesh.h
+++ b/src/kin/mesh.h
@@ -16,10 +16,10 @@
   std::string cluster;
   std::vector<std::string> seeds;
   Micros round = seconds(1);
-  Micros probe = millis(500);       // how long a direct, then an indirect probe may take
-  Micros quiet = millis(900);       // a wire silent for longer is asked after, whoever's turn it is
-  Micros knock = millis(250);       // first pause between dials
-  Micros knock_most = seconds(1);   // the low, capped rate for DOWN peers and seeds
+  Micros probe = millis(500);      // how long a direct, then an indirect probe may take
+  Micros quiet = millis(900);      // a wire silent for longer is asked after, whoever's turn it is
+  Micros knock = millis(250);      // first pause between dials
+  Micros knock_most = seconds(1);  // the low, capped rate for DOWN peers and seeds
   Micros idle = seconds(60);
   Micros forget = seconds(1800);
 };
--- a/src/kin/roll/roll.cc
+++ b/src/kin/roll/roll.cc
@@ -17,10 +17,18 @@
 }
 void announce(std::string const& name, State state) {
   switch (state) {
-    case State::alive: tell(Event::peer_alive, name); break;
-    case State::suspected: tell(Event::peer_suspected, name); break;
-    case State::down: tell(Event::peer_down, name); break;
-    case State::leaving: tell(Event::peer_leaving, name); break;
+    case State::alive:
+      tell(Event::peer_alive, name);
+      break;
+    case State::suspected:
+      tell(Event::peer_suspected, name);
+      break;
+    case State::down:
+      tell(Event::peer_down, name);
+      break;
+    case State::leaving:
+      tell(Event::peer_leaving, name);
+      break;
   }
 }
 }  // namespace
--- a/tests/index.cc
+++ b/tests/index.cc
@@ -48,7 +48,8 @@
   Tide::BoundsOf const bounds = [](std::string const&) { return Index::Bounds{2000000, seconds(1000)}; };
   std::vector<Letter> out;
   std::vector<std::pair<std::string, std::vector<std::string>>> const to_b = {{"b", {}}};
-  for (std::uint64_t i = 0; i < 12000; ++i) a.queue("m", a.index("m").touch(line(i, 2), "w" + std::to_string(i % 5), 1, bounds("m"), seconds(1)));
+  for (std::uint64_t i = 0; i < 12000; ++i)
+    a.queue("m", a.index("m").touch(line(i, 2), "w" + std::to_string(i % 5), 1, bounds("m"), seconds(1)));
   a.round(seconds(1), to_b, bounds, out);
   EXPECT_GT(a.dropped, 0u) << "the backlog is bounded";
   out.clear();  // and this batch is lost
--- a/tests/mesh.cc
+++ b/tests/mesh.cc
@@ -39,7 +39,8 @@
   int taken = 0;
   for (int i = 0; i < 4000; ++i) {
     std::string bad = good;
-    for (std::uint64_t n = 1 + dice.below(4); n > 0; --n) bad[4 + dice.below(bad.size() - 4)] = static_cast<char>(dice.roll());
+    for (std::uint64_t n = 1 + dice.below(4); n > 0; --n)
+      bad[4 + dice.below(bad.size() - 4)] = static_cast<char>(dice.roll());
     Node node(plan(), 0, std::nullopt);
     NodeOut out;
     node.opened(1, false, "", 0, out);
@@ -137,7 +138,10 @@
       for (Letter& one : out) mail.emplace_back(item.first, std::move(one));
     }
     // Each hears itself first: the worst order.
-    std::stable_sort(mail.begin(), mail.end(), [](std::pair<std::string, Letter> const& a, std::pair<std::string, Letter> const& b) { return (a.first == a.second.to) > (b.first == b.second.to); });
+    std::stable_sort(mail.begin(), mail.end(),
+                     [](std::pair<std::string, Letter> const& a, std::pair<std::string, Letter> const& b) {
+                       return (a.first == a.second.to) > (b.first == b.second.to);
+                     });
     for (std::pair<std::string, Letter>& one : mail) {
       wire::GrantAskT const& ask = *one.second.body.AsGrantAsk();
       wire::GrantAnsT ans;
