--- a/tests/tables.cc
+++ b/tests/tables.cc
@@ -21,7 +21,8 @@
   std::set<unsigned> seen;
   for (std::size_t i = 0; i < n; ++i) {
     EXPECT_TRUE(seen.insert(rows[i].number).second) << rows[i].number << " stands twice";
-    std::string const line = "| " + std::to_string(rows[i].number) + " | " + rows[i].name + " | " + rows[i].level + " | " + rows[i].text + " |";
+    std::string const line = "| " + std::to_string(rows[i].number) + " | " + rows[i].name + " | " + rows[i].level +
+                             " | " + rows[i].text + " |";
     EXPECT_NE(text.str().find(line), std::string::npos) << line;
   }
 }
@@ -42,12 +43,15 @@
 TEST(Tables, steps_are_refused_by_name) {
   Cast const cast = cast_of(*shape_of("coop"));
   EXPECT_TRUE(read_steps("1 kill p1; 2.5 split k1,k2 k3,k4; 3 storm 5", cast));
-  for (char const* const bad : {"1 explode p1", "1 kill p99", "soon kill p1", "1 kill", "1 blank p1", "1 storm many", "1 empty q"})
+  for (char const* const bad :
+       {"1 explode p1", "1 kill p99", "soon kill p1", "1 kill", "1 blank p1", "1 storm many", "1 empty q"})
     EXPECT_FALSE(read_steps(bad, cast)) << bad;
   EXPECT_EQ(schedule_of("nonsense"), nullptr);
-  for (char const* const name : {"calm", "change", "crash", "freeze", "cut", "keepers", "release", "leave", "stop", "exchange", "loss", "disk", "storm", "closing"}) {
+  for (char const* const name : {"calm", "change", "crash", "freeze", "cut", "keepers", "release", "leave", "stop",
+                                 "exchange", "loss", "disk", "storm", "closing"}) {
     ASSERT_NE(schedule_of(name), nullptr) << name;
-    for (char const* const shape : {"coop", "utility"}) EXPECT_TRUE(read_steps(schedule_of(name)->steps, cast_of(*shape_of(shape)))) << name;
+    for (char const* const shape : {"coop", "utility"})
+      EXPECT_TRUE(read_steps(schedule_of(name)->steps, cast_of(*shape_of(shape)))) << name;
   }
   EXPECT_FALSE(arm_fault(99, "", 1));
 }
--- a/tests/tongue.cc
+++ b/tests/tongue.cc
@@ -57,9 +57,11 @@
     EXPECT_EQ(made.error().place, row.place) << row.code << ": " << made.error().why;
     EXPECT_EQ(made.error().kind, Kind::bad_language);
   }
-  for (char const* const code : {"wait 2", "wait 0s", "urgency 10", "repeat maybe", "wait 1s; wait 2s", "colour red", "tries 0", "wait 1s urgency 2"})
+  for (char const* const code : {"wait 2", "wait 0s", "urgency 10", "repeat maybe", "wait 1s; wait 2s", "colour red",
+                                 "tries 0", "wait 1s urgency 2"})
     EXPECT_FALSE(compile_policy(code)) << code;
-  Result<Policy> const good = compile_policy("wait 800ms; urgency 7; repeat safe; backlog 9; tries 3; answer 1m; stall 5s; locality only");
+  Result<Policy> const good =
+      compile_policy("wait 800ms; urgency 7; repeat safe; backlog 9; tries 3; answer 1m; stall 5s; locality only");
   ASSERT_TRUE(good);
   EXPECT_EQ(good.value().wait, millis(800));
   EXPECT_EQ(good.value().answer, seconds(60));
@@ -79,10 +81,14 @@
       {"{\"format\":1,\"pools\":[]}", Kind::bad_description, "$"},
       {"{\"format\":2,\"pools\":[],\"lanes\":[]}", Kind::bad_description, "$.format"},
       {"{\"format\":1,\"format\":1,\"pools\":[],\"lanes\":[]}", Kind::bad_description, "$.format"},
-      {"{\"format\":1,\"pools\":[{\"name\":\"a\",\"model\":\"m\",\"size\":1}],\"lanes\":[]}", Kind::bad_description, "$.pools[0].size"},
-      {"{\"format\":1,\"pools\":[{\"name\":\"a\",\"model\":\"m\",\"slots\":0}],\"lanes\":[]}", Kind::bad_description, "$.pools[0].slots"},
-      {"{\"format\":1,\"pools\":[],\"lanes\":[{\"name\":\"l\",\"binding\":\"match always; pool a\"}]}", Kind::bad_description, "$.lanes[0].binding"},
-      {"{\"format\":1,\"pools\":[],\"lanes\":[{\"name\":\"l\",\"binding\":\"match; pool a\"}]}", Kind::bad_language, "$.lanes[0].binding: line 1, column 6"},
+      {"{\"format\":1,\"pools\":[{\"name\":\"a\",\"model\":\"m\",\"size\":1}],\"lanes\":[]}", Kind::bad_description,
+       "$.pools[0].size"},
+      {"{\"format\":1,\"pools\":[{\"name\":\"a\",\"model\":\"m\",\"slots\":0}],\"lanes\":[]}", Kind::bad_description,
+       "$.pools[0].slots"},
+      {"{\"format\":1,\"pools\":[],\"lanes\":[{\"name\":\"l\",\"binding\":\"match always; pool a\"}]}",
+       Kind::bad_description, "$.lanes[0].binding"},
+      {"{\"format\":1,\"pools\":[],\"lanes\":[{\"name\":\"l\",\"binding\":\"match; pool a\"}]}", Kind::bad_language,
+       "$.lanes[0].binding: line 1, column 6"},
   };
   for (Row const& row : rows) {
     Result<std::shared_ptr<Creed const>> const made = read_creed(row.text);
