Index: a page or delta that tells of a new life no longer writes into what it freed

Cause: learn() took the crumb first and the shelves after it; a shelf of a newer incarnation is emptied, which may free that very crumb. Ruled out: a race between the threads of augury (one job crashed too).

--- a/src/flow/index/index.cc
+++ b/src/flow/index/index.cc
@@ -134,8 +134,9 @@
 }
 
 bool Index::apply(wire::DeltaT const& delta, Bounds const& bounds, Micros now) {
-  if (delta.base != 0 && crumbs.find(delta.base) == crumbs.end()) return false;
+  // First the shelf: a new life empties it, and what only the former one kept ends with that, the base perhaps too.
   Shelf* const shelf = shelf_for(delta.worker, delta.incarnation);
+  if (delta.base != 0 && crumbs.find(delta.base) == crumbs.end()) return false;
   if (shelf == nullptr) return true;
   std::vector<Crumb*> line;
   for (std::uint64_t hash = delta.base; hash != 0;) {
@@ -205,11 +206,14 @@
 }
 
 void Index::learn(wire::CrumbT const& item, Bounds const& bounds, Micros now) {
+  std::size_t const n = std::min({item.workers.size(), item.incarnations.size(), item.ages.size()});
+  std::vector<Shelf*> on;
+  // All shelves before the first crumb is held: one that a new life empties may end the very crumb, or its parent.
+  for (std::size_t i = 0; i < n; ++i) on.push_back(shelf_for(item.workers[i], item.incarnations[i]));
   if (item.hash == 0 || (item.parent != 0 && crumbs.find(item.parent) == crumbs.end())) return;
   Crumb* const made = grow(item.hash, item.parent);
-  std::size_t const n = std::min({item.workers.size(), item.incarnations.size(), item.ages.size()});
   for (std::size_t i = 0; i < n; ++i) {
-    Shelf* const shelf = shelf_for(item.workers[i], item.incarnations[i]);
+    Shelf* const shelf = on[i];
     if (shelf == nullptr || shelf->count >= bounds.blocks || item.ages[i] > bounds.age) continue;
     bool have = false;
     for (Keep const& old : made->keeps) have = have || old.shelf == shelf;
--- a/tests/index.cc
+++ b/tests/index.cc
@@ -42,6 +42,31 @@
   EXPECT_EQ(index.match(path).count("w"), 0u) << "news of a former life is none";
 }
 
+TEST(Index, a_page_that_tells_of_a_new_life_ends_what_it_stands_on) {
+  // The crumb that the page names was kept by the former life alone: it goes with it.
+  Index index;
+  Path const path = line(1, 2);
+  index.touch(path, "w", 1, wide, seconds(1));
+  wire::CrumbT item;
+  item.hash = path[1];
+  item.parent = path[0];
+  item.workers = {"w"};
+  item.incarnations = {2};
+  item.ages = {0};
+  index.learn(item, wide, seconds(2));
+  EXPECT_EQ(index.held("w"), 0u);
+  EXPECT_EQ(index.size(), 0u);
+  // A delta on a base that ends in the same way asks for the tree.
+  index.touch(path, "w", 2, wide, seconds(3));
+  wire::DeltaT delta;
+  delta.worker = "w";
+  delta.incarnation = 3;
+  delta.base = path[1];
+  delta.tail = {77};
+  EXPECT_FALSE(index.apply(delta, wide, seconds(4)));
+  EXPECT_EQ(index.size(), 0u);
+}
+
 TEST(Tide, peers_agree_and_a_lost_batch_starts_one_pull_in_pages) {
   Tide a(1);
   Tide b(2);
