N11: the span of a cold worker allows for clocks; nodes without a share ask first

Ruled out: shares computed from too few names (every node knew nine), sends crossing a window. Clocks in worlds now differ by three percent instead of 0.2.

--- a/proof/augury/world.cc
+++ b/proof/augury/world.cc
@@ -106,7 +106,8 @@
   slot->address = address;
   slot->zone = zone;
   slot->role = role;
-  slot->rate = 1.0 + (static_cast<double>(dice.below(2001)) - 1000.0) / 1e6 * 2;  // clocks differ by up to 0.2 percent
+  // Clocks differ by up to three percent.
+  slot->rate = 1.0 + (static_cast<double>(dice.below(2001)) - 1000.0) / 1e6 * 30;
   slot->offset = static_cast<Micros>(dice.below(1000000000));
   return *slot;
 }
--- a/src/flow/errand/desk.cc
+++ b/src/flow/errand/desk.cc
@@ -107,6 +107,7 @@
 Desk::Choice Desk::select(Errand const& errand, std::size_t ahead, Micros now, bool sure_only) {
   Choice best;
   Micros least = 0;
+  bool least_bare = false;
   Micros soonest = -1;
   std::int64_t cold_shares = 0;  // of workers that are free but cold
   Micros cold_ends = -1;
@@ -136,15 +137,16 @@
         if (soonest < 0 || wait < soonest) soonest = wait;
         continue;
       }
+      std::int64_t const share = fleet.cold_share(*worker, pool->cold, self, names);
       Micros const cold = fleet.cold_for(*worker, pool->cold_span, now);
       if (cold > 0 && guard(Guard::cold_share) && !fleet.cold_room(*worker, pool->cold, self, names, now)) {
-        cold_shares += fleet.cold_share(*worker, pool->cold, self, names);
+        cold_shares += share;
         if (cold_ends < 0 || cold < cold_ends) cold_ends = cold;
         continue;
       }
       // §6.6: a worker that does not answer in time is passed over while others can be had.
-      bool const unsure =
-          guard(Guard::cold_share) && fleet.unsure(*worker, fleet.cold_share(*worker, pool->cold, self, names));
+      bool const bare = share == 0 && guard(Guard::cold_share);
+      bool const unsure = guard(Guard::ask_first) && fleet.unsure(*worker, share, now);
       if (unsure && (sure_only || (worker->asked >= 0 && now - worker->asked > millis(100)))) {
         if (soonest < 0 || soonest > millis(50)) soonest = millis(50);
         continue;
@@ -156,8 +158,10 @@
       cost += hold * load / room / 10;
       if (worker->row.zone != zone && errand.lane->policy.locality != Locality::any)
         cost += errand.rules->locality_cost;
-      if (best.worker == nullptr || cost < least) {
+      // A node that has no share of this worker's bound goes there only for want of any other.
+      if (best.worker == nullptr || (bare != least_bare ? least_bare : cost < least)) {
         best.worker = worker;
+        least_bare = bare;
         best.hit = have;
         best.ask = unsure ? worker->row.id : "";
         least = cost;
--- a/src/flow/fleet/fleet.cc
+++ b/src/flow/fleet/fleet.cc
@@ -219,11 +219,12 @@
   return static_cast<std::int64_t>(rendezvous_rank(worker.row.id, self, names)) < bound ? 1 : 0;
 }
 
-bool Fleet::unsure(Worker const& worker, std::int64_t share) const {
+bool Fleet::unsure(Worker const& worker, std::int64_t share, Micros now) const {
+  if (share <= 0) return worker.confirmed < now - millis(50);
   std::int64_t n = 0;
   for (Micros const at : worker.sends)
     if (at >= worker.confirmed) ++n;
-  return n >= std::max<std::int64_t>(1, share);
+  return n >= share;
 }
 
 bool Fleet::cold_room(Worker& worker, std::int64_t bound, std::string const& self, std::set<std::string> const& names,
--- a/src/flow/fleet/fleet.h
+++ b/src/flow/fleet/fleet.h
@@ -91,15 +91,18 @@
   // What this node writes of the workers whose entries it owns.
   std::vector<wire::EntryT> entries_for(std::set<std::string> const& owned) const;
 
-  // For how long it is still cold, by what its pool says now; 0 when it is warm.
+  // For how long it is still cold, by what its pool says now; 0 when it is warm. A sixteenth is added to the span,
+  // because this node's clock and the worker's differ (§6.6).
   Micros cold_for(Worker const& worker, Micros span, Micros now) const {
-    return worker.woke < 0 ? span : std::max<Micros>(0, worker.woke + span - now);
+    Micros const most = span + span / 16;
+    return worker.woke < 0 ? most : std::max<Micros>(0, worker.woke + most - now);
   }
   // Whether this node may send to a cold worker now; 'names' are all nodes known that may send.
   bool cold_room(Worker& worker, std::int64_t bound, std::string const& self, std::set<std::string> const& names,
                  Micros now) const;
   // Whether this node has sent its share since the worker last answered: it may have ended and come back since.
-  bool unsure(Worker const& worker, std::int64_t share) const;
+  // A node without a share asks right before it sends.
+  bool unsure(Worker const& worker, std::int64_t share, Micros now) const;
   // How many sends this node has to a cold worker in one window.
   std::int64_t cold_share(Worker const& worker, std::int64_t bound, std::string const& self,
                           std::set<std::string> const& names) const;
--- a/src/ground/guards.h
+++ b/src/ground/guards.h
@@ -21,6 +21,7 @@
   GUARD(disk_id, "N9", "a keeper that lost its disk has no vote")                  \
   GUARD(bucket, "N10", "re-sends are paid from first sends")                       \
   GUARD(cold_share, "N11", "a cold worker gets each node's share")                 \
+  GUARD(ask_first, "N11", "a worker is asked before it is sent more than a share") \
   GUARD(redial, "N12", "DOWN peers and seeds are dialled on")
 
 enum class Guard : std::uint8_t {
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -37,6 +37,26 @@
   EXPECT_NE(see(GetParam(), 3).hash, see(GetParam(), 4).hash);
 }
 
+// Seeds that once broke a point, each with its cause in docs/measurements.md.
+struct Once {
+  char const* name;
+  char const* shape;
+  std::uint64_t seed;
+  std::vector<std::string> only;
+};
+class Found : public testing::TestWithParam<Once> {};
+
+TEST_P(Found, stays_mended) {
+  for (std::string const& fault : see(GetParam().shape, GetParam().seed, GetParam().only).faults) ADD_FAILURE() << fault;
+}
+
+std::vector<Once> const found = {
+    {"cold_by_a_fast_clock", "utility", 69, {"release", "crowd", "hand", "split"}},
+    {"sent_by_a_node_without_a_share", "utility", 142, {"release", "crowd", "hand", "split"}},
+};
+std::string once_name(testing::TestParamInfo<Once> const& info) { return info.param.name; }
+INSTANTIATE_TEST_SUITE_P(Each, Found, testing::ValuesIn(found), once_name);
+
 INSTANTIATE_TEST_SUITE_P(Shapes, Worlds, testing::Values("coop", "utility"));
 
 struct Missing {
@@ -65,13 +85,14 @@
     {Guard::never_repeat, "N1", "coop", 1, 12, {}},
     {Guard::honest_ran, "N2", "coop", 1, 12, {}},
     {Guard::local_veto, "N5", "coop", 1, 12, {"leave"}},
-    {Guard::fresh_start, "N5", "coop", 1, 12, {"freeze", "leave"}},
+    {Guard::fresh_start, "N5", "utility", 1, 20, {"freeze", "leave"}},
     {Guard::zone_veto, "N6", "coop", 1, 12, {}},
     {Guard::spread, "N7", "coop", 1, 4, {"crowd"}},
     {Guard::expected, "N8", "coop", 1, 12, {"race", "storm"}},
     {Guard::promise, "N8", "coop", 1, 12, {"race", "storm"}},
     {Guard::bucket, "N10", "coop", 1, 30, {"refuse"}},
     {Guard::cold_share, "N11", "coop", 1, 12, {"release", "crowd"}},
+    {Guard::ask_first, "N11", "utility", 7, 1, {"release", "crowd", "hand", "split"}},
     {Guard::redial, "N12", "coop", 1, 20, {}},
 };
 std::string guard_name(testing::TestParamInfo<Missing> const& info) {
