--- a/programs/decree/main.cc
+++ b/programs/decree/main.cc
@@ -46,6 +46,7 @@
     "  decree read [--marks]            print the accepted description as it was written\n"
     "  decree empty ZONE                no more requests to a zone; yes once every node confirms\n"
     "  decree refill ZONE               requests to the zone again\n"
+    "  decree forget NODE               a router node that is gone for good no longer counts\n"
     "  decree change ID                 whether a change whose outcome was unknown was chosen\n"
     "  decree status                    what one node knows, as JSON\n"
     "Exit codes: 0 done; 1 refused; 2 bad usage or description; 3 outcome unknown; 4 not reached or no majority;\n"
@@ -124,6 +125,10 @@
     std::string const none;
     return show(talk("POST", node, "/v1/zones/" + words[1] + "/" + verb, &none, ""));
   }
+  if (verb == "forget" && two) {
+    std::string const none;
+    return show(talk("POST", node, "/v1/nodes/" + words[1] + "/forget", &none, ""));
+  }
   if (verb == "change" && two) return show(talk("GET", node, "/v1/changes/" + words[1], nullptr, ""));
   if (verb == "status" && words.size() == 1) return show(talk("GET", node, "/v1/status", nullptr, ""));
   std::fputs(usage, stderr);
--- a/proof/augury/world.cc
+++ b/proof/augury/world.cc
@@ -66,6 +66,7 @@
   Micros came = 0;
   std::string told;
   int begun = 0, ended = 0;
+  Micros knocked = -1;  // when its leg reached a worker that has not begun it yet
   bool over = false;
 };
 
@@ -84,8 +85,9 @@
 World::~World() = default;
 
 std::vector<std::string> World::troubles() {
-  return {"kill",    "power", "freeze", "cut",  "split", "keepers", "blank", "exchange", "slow",    "hand",  "dark",
-          "release", "leave", "list",   "race", "storm", "large",   "loss",  "drain",    "closing", "crowd", "refuse"};
+  return {"kill",  "power", "freeze",  "cut",   "split",   "keepers", "blank", "exchange", "slow",
+          "hand",  "dark",  "release", "leave", "list",    "race",    "storm", "large",    "loss",
+          "group", "stray", "amnesia", "drain", "closing", "crowd",   "refuse"};
 }
 
 void World::at(Micros when, std::function<void()> act) { events.push(Event_{when, ++order, std::move(act)}); }
@@ -408,14 +410,17 @@
   for (std::uint64_t const id : out.desk.drops) box.legs.erase(id);
   for (Reply const& reply : out.replies) answered(box, reply);
   if (out.read_list) {
-    bool const bad = list_down || cut(name, "list") || dice.chance(0.02);
-    after(lag(millis(3), millis(40)), [this, name, life, bad] {
+    bool const mute = (list_down && list_silent) || cut(name, "list");
+    bool const odd = list_down || dice.chance(0.02);
+    bool const bad = mute || odd;
+    bool const spoke = odd && !mute;  // refused, or an answer that is none
+    after(mute ? seconds(1) : lag(millis(3), millis(40)), [this, name, life, bad, spoke] {
       std::optional<std::vector<ListRow>> rows;
       // Readers see the list a little behind the truth.
       if (!bad)
         for (std::pair<Micros, std::vector<ListRow>> const& item : list)
           if (item.first <= now - millis(700) || !rows) rows = item.second;
-      enter(*boxes[name], life, [rows](Box& b, Micros t, NodeOut& o) { b.node->list(rows, t, o); });
+      enter(*boxes[name], life, [rows, spoke](Box& b, Micros t, NodeOut& o) { b.node->list(rows, spoke, t, o); });
     });
   }
   for (Check const& check : out.checks) {
@@ -532,6 +537,8 @@
   };
   if (hand.life != hand_life) return after(lag(), [done] { done(LegEnd::broke); });
   if (hand.refusing) return after(lag(), [done] { done(LegEnd::refused); });
+  Wish& item = *wishes[wish];
+  if (item.knocked < 0) item.knocked = now;
   if (hand.frozen) {  // it lies in the worker's socket until the worker wakes
     after(millis(200), [this, name, life, errand, number, worker, hand_life, wish, stall] {
       arrive(name, life, errand, number, worker, hand_life, wish, stall);
@@ -539,7 +546,9 @@
     return;
   }
   Box& box = *boxes[name];
-  Wish& item = *wishes[wish];
+  // It came when it reached the worker's socket, though the worker may have stood still since.
+  Micros const came = item.knocked;
+  item.knocked = -1;
   ++item.begun;
   ++end.runs;
   note(worker + " runs " + item.tag);
@@ -547,14 +556,14 @@
   std::map<std::uint64_t, Micros> const& marked = marks[worker];
   bool const unread = list_down && marked.count(hand.life) && marked.at(hand.life) >= list_down_from - millis(1500);
   if (marked.count(hand.life) && !unread) {
-    Micros const gap = now - marked.at(hand.life);
+    Micros const gap = came - marked.at(hand.life);
     end.margins.mark = std::max(end.margins.mark, gap);
     if (gap > seconds(3))
       fault("N5 " + worker + " got a request from " + name + " " + std::to_string(gap / 1000) + " ms after its mark");
   }
   for (Emptied const& zone : emptied[hand.row.zone]) {
-    if (zone.to >= 0 && now >= zone.to) continue;
-    Micros const gap = now - zone.from;
+    if (zone.to >= 0 && came >= zone.to) continue;
+    Micros const gap = came - zone.from;
     end.margins.empty = std::max(end.margins.empty, gap);
     if (gap > seconds(5))
       fault("N6 " + worker + " got a request from " + name + " " + std::to_string(gap / 1000) + " ms after the yes");
@@ -698,6 +707,10 @@
       if (zone.to < 0) zone.to = now;
   enter(box, box.life, [this, id, sort, text, expected](Box& b, Micros t, NodeOut& out) {
     Change change;
+    if (sort == Change::Sort::strike) {
+      if (b.node->keeps(text)) return;
+      change.seat = *seat_of(*b.node->learner.value, text);
+    }
     change.sort = sort;
     change.text = text;
     change.expected = expected;
@@ -762,6 +775,10 @@
         after(lag(millis(300), seconds(2)), [this, name] { boot(*boxes[name]); });
       }
   }
+  if (change.sort == Change::Sort::empty && quiet) {
+    end.emptied = true;
+    end.unconfirmed = reply.missing;
+  }
   if (change.sort == Change::Sort::empty && reply.missing.empty()) {
     // Not when a refill was under way: it may have come after. One of unknown outcome may still come.
     bool undone = false;
@@ -813,7 +830,7 @@
   bool const power = dice.chance(0.5);
   for (std::pair<std::string const, std::unique_ptr<Box>>& item : boxes) halt(*item.second, power);
   heal();
-  list_down = false;
+  list_up();
   after(millis(800), [this] {
     lost_at = now;
     for (std::pair<std::string const, std::unique_ptr<Box>>& item : boxes) boot(*item.second);
@@ -836,6 +853,15 @@
   });
 }
 
+// What is marked while nobody can read the list is known to nobody: such a mark counts from when it can be read.
+void World::list_up() {
+  if (!list_down) return;
+  list_down = false;
+  for (std::pair<std::string const, std::map<std::uint64_t, Micros>>& worker : marks)
+    for (std::pair<std::uint64_t const, Micros>& mark : worker.second)
+      if (mark.second >= list_down_from - millis(1500)) mark.second = now;
+}
+
 void World::trouble() {
   if (quiet) return;
   std::vector<std::string> const all = plan.only.empty() ? troubles() : plan.only;
@@ -901,11 +927,14 @@
     }
   } else if (sort == "exchange") {
     Box* const old = pick([](Box const& b) { return b.role == Role::passage; });
-    if (old != nullptr && boxes.size() < 30) {
+    if (old != nullptr && boxes.size() < 40) {
       std::string const zone = old->zone;
       bool const same_address = dice.chance(0.3);
       std::string const address = same_address ? old->address : "10.0.6." + std::to_string(++moved) + ":7000";
-      halt(*old, dice.chance(0.3));
+      bool const power = dice.chance(0.3);
+      halt(*old, power);
+      ++end.exchanges;
+      if (power) silent.push_back(old->name);
       if (same_address) old->address = "10.0.7." + std::to_string(++moved) + ":7000";
       std::string const name = "px" + std::to_string(++moved);
       boot(add(name, address, zone, Role::passage));
@@ -977,15 +1006,9 @@
     });
   } else if (sort == "list" && !list_down) {
     list_down = true;
+    list_silent = dice.chance(0.5);
     list_down_from = now;
-    // What is marked while nobody can read the list is known to nobody: such a mark counts from when it can be read.
-    Micros const from = now;
-    after(span, [this, from] {
-      list_down = false;
-      for (std::pair<std::string const, std::map<std::uint64_t, Micros>>& worker : marks)
-        for (std::pair<std::uint64_t const, Micros>& mark : worker.second)
-          if (mark.second >= from - millis(1500)) mark.second = now;
-    });
+    after(span, [this] { list_up(); });
   } else if (sort == "race") {
     for (int i = 0; i < 2 + static_cast<int>(dice.below(3)); ++i)
       if (Box* const at_box = pick_up())
@@ -1000,6 +1023,66 @@
     operate(Change::Sort::apply, description_of(*plan.shape, ++turn) + std::string(300000, ' '), yes_serial, *box);
   } else if (sort == "loss") {
     full_loss();
+  } else if (sort == "group") {
+    // Router nodes that hear one another and reach the workers, but neither the list nor any other node.
+    std::set<std::string> side;
+    std::size_t const size = 2 + dice.below(2);
+    for (int i = 0; i < 10 && side.size() < size; ++i)
+      if (Box* const one = pick([](Box const& b) { return b.role == Role::passage; })) side.insert(one->name);
+    for (std::string const& a : side) {
+      for (std::string const& b : names)
+        if (!side.count(b)) set_cut(a, b, true), set_cut(b, a, true);
+      set_cut(a, "list", true);
+    }
+    after(lag(seconds(2), seconds(11)), [this] { heal(); });
+  } else if (sort == "stray") {
+    // One router node is cut off and goes on serving, while all others end and return; then a zone is emptied.
+    Box* const one = pick([](Box const& b) { return b.role == Role::passage; });
+    if (one != nullptr && cuts.empty()) {
+      std::string const stray = one->name;
+      for (std::string const& name : names) {
+        if (name == stray) continue;
+        set_cut(stray, name, true);
+        set_cut(name, stray, true);
+        halt(*boxes[name], false);
+        bool const gone = boxes[name]->address.rfind("10.0.7.", 0) == 0;
+        if (!gone) after(lag(millis(200), millis(600)), [this, name] { boot(*boxes[name]); });
+      }
+      after(seconds(5), [this, stray] {
+        Box* const at_box = pick([&stray](Box const& b) { return b.name != stray && b.node->ready(); });
+        if (at_box != nullptr && !quiet && at_box->node->desk.emptied().empty())
+          operate(Change::Sort::empty, plan.shape->zones[dice.below(plan.shape->zones.size())], 0, *at_box);
+      });
+      after(seconds(14), [this] { heal(); });
+    }
+  } else if (sort == "amnesia") {
+    // A change is chosen while one keeper is cut off; then one that took it loses its disk, another its power, and the
+    // one that was cut off is back: whoever counted the blank one would go on from the older value.
+    Ring const& ring = box->node->learner.ring();
+    std::vector<std::string> whole;
+    for (std::pair<std::string const, std::unique_ptr<Box>> const& item : boxes)
+      if (item.second->role == Role::accord && item.second->up() && item.second->disk &&
+          ring.holds(item.first, item.second->disk->disk))
+        whole.push_back(item.first);
+    if (cuts.empty() && box->role == Role::passage && whole.size() == static_cast<std::size_t>(plan.shape->keepers)) {
+      for (std::string const& name : names)
+        if (name != whole[2]) set_cut(name, whole[2], true), set_cut(whole[2], name, true);
+      operate(Change::Sort::apply, description_of(*plan.shape, ++turn), yes_serial, *box);
+      after(millis(400), [this, whole] {
+        halt(*boxes[whole[0]], true);
+        boxes[whole[0]]->disk.reset();
+        boxes[whole[0]]->writing.reset();
+        halt(*boxes[whole[1]], true);
+        heal();
+        boot(*boxes[whole[0]]);
+      });
+      after(seconds(3), [this] {
+        if (Box* const at_box = pick_up()) operate(Change::Sort::read, "", 0, *at_box);
+        if (Box* const at_box = pick_up())
+          operate(Change::Sort::apply, description_of(*plan.shape, ++turn), yes_serial, *at_box);
+      });
+      after(seconds(7), [this, whole] { boot(*boxes[whole[1]]); });
+    }
   } else if (sort == "drain") {
     std::string const name = box->name;
     std::uint64_t const life = box->life;
@@ -1086,6 +1169,8 @@
     fault("N10 " + std::to_string(resends) + " re-sends for " + std::to_string(first_sends) + " sends");
   // After a quiet while everything is whole again: one serial, every node ready, the keeper set full.
   std::set<std::uint64_t> serials;
+  for (std::pair<std::string const, std::unique_ptr<Box>> const& item : boxes)
+    if (item.second->up() && item.second->role == Role::passage) ++end.routers;
   for (std::pair<std::string const, std::unique_ptr<Box>> const& item : boxes) {
     if (!item.second->up()) continue;
     serials.insert(item.second->node->learner.serial());
@@ -1108,6 +1193,7 @@
   if (end.done == 0) fault("no traffic was seen");
   for (std::pair<std::string const, std::unique_ptr<Box>> const& item : boxes)
     if (item.second->up()) {
+      if (item.second->node->learner.value) end.seats = item.second->node->learner.value->seats.size();
       if (item.second->node->learner.ring().keepers.size() != static_cast<std::size_t>(plan.shape->keepers))
         fault("repair: the set of keepers is not whole after a quiet while");
       break;
@@ -1148,7 +1234,7 @@
   at(end_trouble, [this] {
     quiet = true;
     heal();
-    list_down = false;
+    list_up();
     closing = false;
     for (std::pair<std::string const, std::unique_ptr<Box>>& item : boxes) {
       item.second->disk_low = 500;
@@ -1162,7 +1248,16 @@
     }
     for (std::pair<std::string const, std::unique_ptr<Hand>>& item : hands) item.second->frozen = false;
   });
-  Micros const last = end_trouble + seconds(28);
+  if (plan.finale) {
+    at(end_trouble + seconds(24), [this] {
+      for (std::string const& name : silent)
+        if (Box* const box = pick_up()) operate(Change::Sort::strike, name, 0, *box);
+    });
+    at(end_trouble + seconds(30), [this] {
+      if (Box* const box = pick_up()) operate(Change::Sort::empty, plan.shape->zones[0], 0, *box);
+    });
+  }
+  Micros const last = end_trouble + seconds(plan.finale ? 36 : 28);
   while (!events.empty() && events.top().at <= last) {
     Event_ item = events.top();
     events.pop();
--- a/proof/augury/world.h
+++ b/proof/augury/world.h
@@ -21,6 +21,7 @@
   Micros length = seconds(30);    // of trouble; a quiet end follows
   double rate = 25;               // requests a second
   std::vector<std::string> only;  // these kinds of trouble, or all
+  bool finale = false;            // in the quiet end: what is gone is forgotten, and a zone emptied
 };
 
 struct Margins {
@@ -34,6 +35,9 @@
 
 struct WorldEnd {
   std::uint64_t hash = 0;
+  std::uint64_t exchanges = 0, seats = 0, routers = 0;  // seats in the register, and router nodes that live, at the end
+  std::vector<std::string> unconfirmed;                 // whom the last 'empty' named, with a finale
+  bool emptied = false;                                 // the finale's 'empty' was chosen
   std::uint64_t done = 0, runs = 0, refused = 0, lost = 0, accepted = 0, reads = 0, troubles = 0, frames = 0;
   std::map<std::string, int> kinds;  // of trouble that came about
   std::vector<std::string> faults;   // "N1 ...", empty when all held
@@ -110,6 +114,7 @@
     return pick([](Box const&) { return true; });
   }
   void full_loss();
+  void list_up();
 
   WorldPlan const plan;
   Dice dice;
@@ -125,7 +130,9 @@
   std::vector<std::shared_ptr<Link>> links;
   std::vector<std::pair<Micros, std::vector<ListRow>>> list;
   bool list_down = false;
-  bool closing = false;  // the next yes is followed by a power cut of every keeper
+  bool list_silent = false;
+  std::vector<std::string> silent;  // router nodes that were exchanged and answer no dial
+  bool closing = false;             // the next yes is followed by a power cut of every keeper
   Micros list_down_from = 0;
   std::uint64_t lives = 0;
   std::uint64_t wish_count = 0;
--- a/src/canon/register/acceptor.cc
+++ b/src/canon/register/acceptor.cc
@@ -20,6 +20,7 @@
     out.serial = slate.value->serial;
     out.change = slate.value->change;
     out.epoch = slate.value->epoch;
+    out.turn = slate.value->turn;
     for (std::unique_ptr<wire::KeeperT> const& item : slate.value->keepers)
       out.keepers.push_back(std::make_unique<wire::KeeperT>(*item));
     if (full) out.value = std::make_unique<wire::ValueT>(*slate.value);
--- a/src/canon/register/learner.cc
+++ b/src/canon/register/learner.cc
@@ -4,12 +4,13 @@
 
 bool Learner::adopt(wire::ValueT const& fresh, Micros now) {
   know(ring_of(fresh));
-  if (value && value->serial >= fresh.serial) return false;
+  // Every change raises the turn, and those of operators the serial with it.
+  if (value && value->turn >= fresh.turn) return false;
   value = fresh;
   return true;
 }
 
-void Learner::poll(Micros now, std::vector<std::string> const& keepers, std::vector<Letter>& out) {
+void Learner::poll(Micros now, std::vector<std::string> const& keepers, Micros age, std::vector<Letter>& out) {
   split = false;
   for (std::pair<std::string const, Vote> const& a : votes)
     for (std::pair<std::string const, Vote> const& b : votes)
@@ -22,6 +23,7 @@
   for (std::string const& name : keepers) {
     wire::PeekT ask;
     ask.req = req;
+    ask.age = age;
     out.push_back(letter(name, std::move(ask)));
   }
 }
@@ -44,12 +46,12 @@
     return std::nullopt;
   }
   if (ans.req != req || ans.value || !ans.formed || !set.holds(from, ans.disk)) return std::nullopt;
-  votes[from] = Vote{ans.ballot, ans.serial, ans.change};
+  votes[from] = Vote{ans.ballot, ans.turn};
   std::size_t n = 0;
   for (std::pair<std::string const, Vote> const& item : votes)
     if (same(item.second.ballot, ans.ballot) && set.holds(item.first, sights[item.first].disk)) ++n;
   if (n < set.majority()) return std::nullopt;
-  if (value && (value->serial > ans.serial || (value->serial == ans.serial && value->change == ans.change))) {
+  if (value && value->turn >= ans.turn) {
     sure = asked;
     return std::nullopt;
   }
--- a/src/canon/register/learner.h
+++ b/src/canon/register/learner.h
@@ -14,13 +14,14 @@
   // Takes a value that is known to be chosen; true when it is newer than what is held.
   bool adopt(wire::ValueT const& value, Micros now);
   // Polls: one majority read without repair, of marks only. 'keepers' are all nodes that may keep.
-  void poll(Micros now, std::vector<std::string> const& keepers, std::vector<Letter>& out);
+  void poll(Micros now, std::vector<std::string> const& keepers, Micros age, std::vector<Letter>& out);
   // Returns a chosen value when the read brings a newer one.
   std::optional<wire::ValueT> take(std::string const& from, wire::PeekedT const& ans, Micros now,
                                    std::vector<Letter>& out);
 
   Ring const& ring() const { return set; }
   std::uint64_t serial() const { return value ? value->serial : 0; }
+  std::uint64_t turn() const { return value ? value->turn : 0; }
   std::optional<wire::ValueT> value;
   // When the poll that last found a majority agreed on what is held here was sent; -1 for never.
   Micros sure = -1;
@@ -40,8 +41,7 @@
  private:
   struct Vote {
     wire::Ballot ballot;
-    std::uint64_t serial = 0;
-    std::string change;
+    std::uint64_t turn = 0;
   };
   Ring set;
   std::uint64_t req = 0;
--- a/src/canon/register/proposer.cc
+++ b/src/canon/register/proposer.cc
@@ -18,6 +18,42 @@
   return out;
 }
 
+wire::SeatT const* seat_of(wire::ValueT const& value, std::string const& name) {
+  for (std::unique_ptr<wire::SeatT> const& item : value.seats)
+    if (item->name == name) return item.get();
+  return nullptr;
+}
+
+namespace {
+constexpr std::size_t struck_most = 256;
+
+void unseat(std::vector<std::unique_ptr<wire::SeatT>>& list, std::string const& name) {
+  list.erase(std::remove_if(list.begin(), list.end(),
+                            [&name](std::unique_ptr<wire::SeatT> const& item) { return item->name == name; }),
+             list.end());
+}
+
+bool take_seat(wire::ValueT& value, wire::SeatT const& seat) {
+  wire::SeatT const* const old = seat_of(value, seat.name);
+  if (old != nullptr && old->incarnation >= seat.incarnation) return false;
+  unseat(value.seats, seat.name);
+  unseat(value.struck, seat.name);
+  value.seats.push_back(std::make_unique<wire::SeatT>(seat));
+  return true;
+}
+
+bool strike_seat(wire::ValueT& value, wire::SeatT const& seat) {
+  wire::SeatT const* const old = seat_of(value, seat.name);
+  if (old == nullptr || old->incarnation > seat.incarnation) return false;
+  wire::SeatT const gone = *old;
+  unseat(value.seats, seat.name);
+  unseat(value.struck, seat.name);
+  value.struck.push_back(std::make_unique<wire::SeatT>(gone));
+  if (value.struck.size() > struck_most) value.struck.erase(value.struck.begin());
+  return true;
+}
+}  // namespace
+
 Proposer::Proposer(std::string self_, std::uint64_t seed, ProposerPlan plan_)
     : self(std::move(self_)), plan(plan_), dice(seed ^ mix(self)), req(stir(seed ^ mix(self)) >> 8) {}
 
@@ -81,8 +117,10 @@
   draft = found ? *found : wire::ValueT();
   draft_new = false;
   bool const mine = serial_of(draft, change.id) > 0;
+  bool const seats = change.sort == Change::Sort::seat || change.sort == Change::Sort::strike;
+  bool seats_new = false;
   // The value remembers its last changes only. Where that memory no longer reaches back, nothing is certain.
-  if (!mine && job.sent && !draft.past.empty() && draft.past.front()->serial > job.sent_serial) {
+  if (!mine && !seats && job.sent && !draft.past.empty() && draft.past.front()->serial > job.sent_serial) {
     Outcome lost;
     lost.fault.kind = Kind::change_unknown;
     finish(lost);
@@ -131,7 +169,15 @@
               break;
             }
         break;
+      // §5.9: seats are no business of the operators' serial. Asking twice changes nothing more.
+      case Change::Sort::seat:
+        seats_new = take_seat(draft, change.seat);
+        break;
+      case Change::Sort::strike:
+        seats_new = strike_seat(draft, change.seat);
+        break;
     }
+    if (draft_new || seats_new) ++draft.turn;
     if (draft_new) {
       if (!draft.change.empty()) {
         std::unique_ptr<wire::MarkT> mark = std::make_unique<wire::MarkT>();
@@ -144,8 +190,8 @@
       draft.change = change.id;
     }
   }
+  if (draft_new || seats_new) job.sent = true;
   if (draft_new) {
-    job.sent = true;
     job.sent_serial = draft.serial;
   }
   yes.clear();
--- a/src/canon/register/proposer.h
+++ b/src/canon/register/proposer.h
@@ -16,12 +16,13 @@
 
 // What a change makes of the present value: nothing (the value stays), a new value, or a refusal.
 struct Change {
-  enum class Sort : std::uint8_t { read, apply, empty, refill, admit, dismiss };
+  enum class Sort : std::uint8_t { read, apply, empty, refill, admit, dismiss, seat, strike };
   Sort sort = Sort::read;
   std::string id;
   std::string text;  // the description, or the zone's name
   std::uint64_t expected = 0;
   wire::KeeperT keeper;
+  wire::SeatT seat;  // a router node that takes its place, or is struck
 };
 
 struct Outcome {
@@ -46,6 +47,8 @@
   bool holds(std::string const& name, std::uint64_t disk) const;
 };
 Ring ring_of(wire::ValueT const& value);
+// The seat of a router node in the value, or nullptr (§5.9).
+wire::SeatT const* seat_of(wire::ValueT const& value, std::string const& name);
 
 class Proposer {
  public:
--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -13,11 +13,12 @@
 constexpr Micros check_gap = millis(500);
 constexpr Micros load_gap = millis(200);
 constexpr Micros jump = seconds(1);
-constexpr Micros alone_after = seconds(2);
 constexpr Micros fresh_bound = seconds(3);
 constexpr Micros confirm_bound = millis(2000);
+constexpr Micros half_bound = millis(1200);
 constexpr Micros mend_gap = seconds(3);
 constexpr Micros keeper_lost = seconds(3);
+constexpr Micros newcomer = seconds(2);  // for which a node that took its seat sends nothing to cold workers
 
 wire::MemberT self_of(NodePlan const& plan) {
   wire::MemberT out;
@@ -55,7 +56,7 @@
   if (now - last_tick > jump && guard(Guard::fresh_start)) {
     ++jumps;
     stale_from = now;
-    if (plan.role == Role::passage) desk.hold(true);
+    look_hold();
     list_flying = false;
     tell(Event::clock_jumped, std::to_string((now - last_tick) / 1000) + " ms");
   }
@@ -132,7 +133,12 @@
       }
       break;
     case wire::Body::Peek:
-      if (acceptor) letters.push_back(letter(from, peeked(acceptor->held(), body.AsPeek()->req, body.AsPeek()->full)));
+      hear(body.AsPeek()->age, now);
+      if (acceptor) {
+        wire::PeekedT ans = peeked(acceptor->held(), body.AsPeek()->req, body.AsPeek()->full);
+        ans.age = news_age(now);
+        letters.push_back(letter(from, std::move(ans)));
+      }
       break;
     case wire::Body::Promise:
     case wire::Body::Accepted:
@@ -140,6 +146,7 @@
       settle_ended(now, out);
       break;
     case wire::Body::Peeked:
+      hear(body.AsPeeked()->age, now);
       if (learner.take(from, *body.AsPeeked(), now, letters)) after_value(now, out);
       proposer.know(learner.ring());
       look_ready(now, out);
@@ -152,13 +159,27 @@
       wire::ConfirmT ok;
       ok.req = news.req;
       ok.serial = learner.serial();
+      // Router nodes that hold no seat may serve by this node's word alone (§6.7): who asks must hear of them.
+      for (std::string const& name : passages(true))
+        if (!learner.value || seat_of(*learner.value, name) == nullptr) ok.routers.push_back(name);
       if (news.req != 0) letters.push_back(letter(from, std::move(ok)));
       look_ready(now, out);
       break;
     }
+    case wire::Body::Behind:
+      if (learner.value && learner.turn() > body.AsBehind()->turn) {
+        wire::ChosenT news;
+        news.value = std::make_unique<wire::ValueT>(*learner.value);
+        letters.push_back(letter(from, std::move(news)));
+      }
+      break;
     case wire::Body::Confirm: {
       std::map<std::uint64_t, Waiting>::iterator const spot = waiting.find(body.AsConfirm()->req);
-      if (spot != waiting.end() && body.AsConfirm()->serial >= spot->second.serial) spot->second.owe.erase(from);
+      if (spot != waiting.end() && body.AsConfirm()->serial >= spot->second.serial) {
+        spot->second.sure.insert(from);
+        for (std::string const& name : body.AsConfirm()->routers)
+          if (name != plan.name && guard(Guard::confirm_all)) spot->second.owe.insert(name);
+      }
       settle_waiting(now, out);
       break;
     }
@@ -177,6 +198,7 @@
       mend.take(from, *body.AsGrantAns(), now, learner.ring());
       break;
     case wire::Body::Loads:
+      hear(body.AsLoads()->age, now);
       fleet.peer_legs(from, *body.AsLoads(), now);
       break;
     case wire::Body::Doubt:
@@ -223,6 +245,8 @@
   desk.in_force(creed, std::set<std::string>(value.emptied.begin(), value.emptied.end()));
   tell(Event::in_force, "serial " + std::to_string(value.serial));
   mesh.roll.self.serial = value.serial;
+  mesh.roll.self.turn = value.turn;
+  look_seat(now, out);
   mesh.retell(out.mesh);
 }
 
@@ -253,13 +277,12 @@
   std::string const hello_name =
       greeting && frame.value()->body.AsHello()->self ? frame.value()->body.AsHello()->self->name : "";
   std::string const from = mesh.frame(id, *frame.value(), now, out.mesh);
-  heard_at = now;
   take_fresh(now);
   if (greeting) {
     // §5.5: a peer that comes with an older serial is told the chosen value at once.
     std::map<std::string, Peer>::const_iterator const peer = mesh.roll.peers.find(hello_name);
     if (peer != mesh.roll.peers.end() && peer->second.wire == id && learner.value &&
-        peer->second.member.serial < learner.serial()) {
+        peer->second.member.turn < learner.turn()) {
       wire::ChosenT news;
       news.value = std::make_unique<wire::ValueT>(*learner.value);
       mesh.post(hello_name, std::move(news), out.mesh);
@@ -267,6 +290,7 @@
     return true;
   }
   if (!from.empty()) deliver(from, frame.value()->body, now, out);
+  if (!waiting.empty()) settle_waiting(now, out);
   return true;
 }
 
@@ -287,11 +311,12 @@
   dispatch(letters, now, out);
 }
 
-void Node::list(std::optional<std::vector<ListRow>> const& rows, Micros now, NodeOut& out) {
+void Node::list(std::optional<std::vector<ListRow>> const& rows, bool answered, Micros now, NodeOut& out) {
   watch_clock(now);
   list_flying = false;
   if (!rows) {
     // A failed reading is no departure.
+    if (answered) list_said_at = now;
     if (!list_bad) tell(Event::list_failed, "");
     list_bad = true;
     return;
@@ -300,7 +325,10 @@
   list_bad = false;
   fleet.take_list(*rows, now);
   // What this reading began before a jump of the clock says nothing about the time after it.
-  if (stale_from < 0 || list_flew >= stale_from) listed_at = list_flew;
+  if (stale_from < 0 || list_flew >= stale_from) {
+    listed_at = list_flew;
+    news_at = std::max(news_at, listed_at);
+  }
   take_fresh(now);
   own_entries(now, out);
   look_ready(now, out);
@@ -342,9 +370,15 @@
 void Node::look_ready(Micros now, NodeOut& out) {
   // What must be known: a majority's word on the register, and the list; both after the last jump.
   Micros const from = stale_from >= 0 ? stale_from : born;
-  bool sure = learner.sure >= from;
+  bool const word = learner.sure >= from;  // of a majority
+  bool sure = word;
+  if (word && plan.role == Role::passage && !seated()) {
+    // §5.9: nothing is placed before this life of the node has its seat; while a majority answers, by nobody's word.
+    ask_seat(now, out);
+    if (!able) return;
+  }
   bool const listed = plan.role == Role::accord || listed_at >= from;
-  if (!sure && now - from > fresh_bound) {
+  if (!word && now - from > fresh_bound) {
     // §6.7: no majority answers. A node that was serving goes on; a new one may take the word of one that serves.
     if (able) sure = true;
     for (std::pair<std::string const, Peer> const& item : mesh.roll.peers) {
@@ -357,7 +391,7 @@
   if (!sure || !(listed || (able && now - from > fresh_bound))) return;
   if (stale_from >= 0) {
     stale_from = -1;
-    desk.hold(false);
+    look_hold();
     desk.work(now, out.desk);
   }
   if (!able) {
@@ -414,7 +448,7 @@
     bool const fresh = learner.adopt(outcome.value, now);
     if (fresh) after_value(now, out);
     // Also when a poll brought it here first: the others may hear of it from nobody else.
-    if (fresh || outcome.sort == Outcome::Sort::chosen || change.sort == Change::Sort::empty)
+    if (fresh || outcome.sort == Outcome::Sort::chosen || change.sort >= Change::Sort::empty)
       spread(outcome.value, req, out);
     look_ready(now, out);
   } else {
@@ -423,15 +457,29 @@
     if (outcome.value.serial > 0 && learner.adopt(outcome.value, now)) after_value(now, out);
   }
   if (id == 0) {
-    duty_busy = false;
+    (change.sort == Change::Sort::seat ? seat_busy : duty_busy) = false;
     return;
   }
   if (change.sort == Change::Sort::empty && holds) {
     Waiting wait;
     wait.serial = outcome.serial > 0 ? outcome.serial : outcome.value.serial;
     wait.due = now + confirm_bound;
-    for (std::string const& name : mesh.perhaps_live())
-      if (guard(Guard::confirm_all) && mesh.roll.peers.at(name).role() == Role::passage) wait.owe.insert(name);
+    // Whoever may serve: router nodes that are heard of, and every one that has a seat (§5.9).
+    for (std::string const& name : passages(true))
+      if (guard(Guard::confirm_all)) wait.owe.insert(name);
+    for (std::unique_ptr<wire::SeatT> const& seat : outcome.value.seats)
+      if (guard(Guard::seats) && guard(Guard::confirm_all)) wait.owe.insert(seat->name);
+    wait.owe.erase(plan.name);
+    wait.reply = std::move(reply);
+    waiting.emplace(req, std::move(wait));
+    settle_waiting(now, out);
+    return;
+  }
+  if (outcome.sort == Outcome::Sort::chosen && guard(Guard::spread)) {
+    // §5.5: yes is said once half of the router nodes have it, so that it gets round whatever happens to the rest.
+    Waiting wait;
+    wait.half = outcome.value.turn;
+    wait.due = now + half_bound;
     wait.reply = std::move(reply);
     waiting.emplace(req, std::move(wait));
     settle_waiting(now, out);
@@ -443,11 +491,11 @@
 void Node::settle_waiting(Micros now, NodeOut& out) {
   for (std::map<std::uint64_t, Waiting>::iterator it = waiting.begin(); it != waiting.end();) {
     Waiting& item = it->second;
-    std::vector<std::string> const live = mesh.perhaps_live();
     std::set<std::string> owe;
-    for (std::string const& name : live)
-      if (item.owe.count(name)) owe.insert(name);
-    if (!owe.empty() && now < item.due) {
+    for (std::string const& name : item.owe)
+      if (owes(item, name)) owe.insert(name);
+    bool const more = item.half > 0 ? !half_has(item.half) : !owe.empty();
+    if (more && now < item.due) {
       ++it;
       continue;
     }
@@ -457,6 +505,17 @@
   }
 }
 
+bool Node::half_has(std::uint64_t turn) const {
+  std::size_t all = 0;
+  std::size_t have = 0;
+  for (std::string const& name : passages(false)) {
+    ++all;
+    std::map<std::string, Peer>::const_iterator const peer = mesh.roll.peers.find(name);
+    if ((peer == mesh.roll.peers.end() ? learner.turn() : peer->second.member.turn) >= turn) ++have;
+  }
+  return have > 0 && have * 2 >= all;
+}
+
 bool Node::zone_known(std::string const& zone) const {
   if (zone == plan.zone) return true;
   for (std::pair<std::string const, Peer> const& item : mesh.roll.peers)
@@ -541,6 +600,10 @@
   } else if (!spare.name.empty() && !lost.name.empty()) {
     change.sort = Change::Sort::dismiss;
     change.keeper = lost;
+  } else if (strike_due(now, change)) {
+    tell(Event::seat_struck, change.seat.name);
+    duty_busy = true;
+    return operate(0, std::move(change), now, out);
   } else if (learner.split && now - mended_at > mend_gap) {
     // Not oftener: each round outbids what others have under way, and a slow disk never catches up with a storm.
     mended_at = now;
@@ -562,9 +625,10 @@
   std::vector<Letter> letters;
   if (now >= next_poll && (guard(Guard::spread) || learner.sure < 0 || plan.role == Role::accord)) {
     next_poll = now + poll_gap;
-    learner.poll(now, keepers(), letters);
+    learner.poll(now, keepers(), news_age(now), letters);
     found(now, letters);
   }
+  ask_newer(now, letters);
   proposer.know(learner.ring());
   proposer.tick(now, letters);
   settle_ended(now, out);
@@ -596,14 +660,17 @@
     }
     // §6.6: the share of a cold worker's bound counts every node that is known, DOWN ones too, so that a cut never
     // raises the sum.
-    desk.nodes(passages(true));
+    std::set<std::string> names = passages(true);
+    if (learner.value)
+      for (std::unique_ptr<wire::SeatT> const& seat : learner.value->seats) names.insert(seat->name);
+    desk.nodes(std::move(names), seat_at >= 0 && now - seat_at < newcomer);
+    look_seat(now, out);
     tell_loads(now, letters);
     std::set<std::string> senders = passages(false);
     senders.erase(plan.name);
     fleet.sum_others(senders, now);
     look_ready(now, out);
-    // §4.3: who hears neither the list nor any peer cannot know which workers are marked, and places nothing.
-    bool const alone = now - listed_at > alone_after && now - heard_at > alone_after;
+    bool const alone = guard(Guard::isolation) && !abreast(now);
     if (able && alone != isolated) {
       isolated = alone;
       tell(alone ? Event::isolated : Event::not_isolated, "");
@@ -630,11 +697,12 @@
 void Node::tell_loads(Micros now, std::vector<Letter>& letters) {
   if (now < next_loads) return;
   next_loads = now + load_gap;
-  wire::LoadsT const loads = fleet.own_legs();
+  wire::LoadsT loads = fleet.own_legs();
+  loads.age = news_age(now);
   std::string print;
   for (std::unique_ptr<wire::LoadT> const& item : loads.list)
     print += item->worker + " " + std::to_string(item->legs) + " ";
-  if (print == loads_last && now - loads_told < seconds(1)) return;
+  if (print == loads_last && now - loads_told < millis(500)) return;
   loads_last = print;
   loads_told = now;
   for (std::string const& name : tide_peers()) letters.push_back(letter(name, wire::LoadsT(loads)));
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -68,12 +68,15 @@
   bool bytes(WireId id, std::string_view frame, Micros now, NodeOut& out);
 
   void disk_done(Micros now, NodeOut& out);
-  void list(std::optional<std::vector<ListRow>> const& rows, Micros now, NodeOut& out);
+  // 'answered': a failed reading whose fault is the list's own, since its address refused or answered oddly.
+  void list(std::optional<std::vector<ListRow>> const& rows, bool answered, Micros now, NodeOut& out);
   void vitals(Check const& check, std::optional<Vitals> const& report, bool refused, Micros now, NodeOut& out);
 
   // Operators. The description was checked by the caller of operate().
   void operate(std::uint64_t id, Change change, Micros now, NodeOut& out);
   bool zone_known(std::string const& zone) const;
+  // Why a router node cannot be forgotten; nothing when it can (§5.9).
+  std::optional<Fault> keeps(std::string const& name) const;
 
   // Errands.
   void errand(std::uint64_t id, Ask ask, Micros now, NodeOut& out);
@@ -101,6 +104,8 @@
   struct Waiting {  // an 'empty' that waits for confirmations
     Reply reply;
     std::set<std::string> owe;
+    std::uint64_t half = 0;      // or one of an 'apply': the turn that half of the router nodes must have
+    std::set<std::string> sure;  // those that confirmed
     std::uint64_t serial = 0;
     Micros due = 0;
   };
@@ -115,6 +120,19 @@
   void own_entries(Micros now, NodeOut& out);
   void duties(Micros now, NodeOut& out);
   void found(Micros now, std::vector<Letter>& letters);
+  bool half_has(std::uint64_t turn) const;
+  bool seated() const;
+  void ask_newer(Micros now, std::vector<Letter>& letters);
+  void look_hold();
+  bool struck_self() const;
+  void ask_seat(Micros now, NodeOut& out);
+  void look_seat(Micros now, NodeOut& out);
+  bool owes(Waiting const& item, std::string const& name) const;
+  bool strike_due(Micros now, Change& change) const;
+  // Knowledge of the list that a peer passed on, as old as it said (§4.3).
+  void hear(Micros age, Micros now);
+  bool abreast(Micros now);
+  Micros news_age(Micros now) const { return news_at < 0 ? -1 : now - news_at; }
   void take_fresh(Micros now);
   void tell_loads(Micros now, std::vector<Letter>& letters);
   void check_now(std::string const& id, Micros now, NodeOut& out);
@@ -143,7 +161,15 @@
   std::map<std::string, Micros> check_due;
   bool able = false;
   bool isolated = false;
-  Micros heard_at = 0;
+  Micros news_at = -1;       // when the freshest reading of the list that is known here was begun, by whomever
+  Micros abreast_at = -1;    // until when no mark can have been missed
+  Micros half_since = -1;    // since when at least half of all members are heard
+  Micros list_said_at = -1;  // when the list's own address last refused, or answered oddly
+  bool seat_busy = false;
+  bool seat_had = false;
+  Micros behind_since = -1;
+  Micros seat_next = 0;
+  Micros seat_at = -1;
   bool leaving = false;
   Micros stale_from = -1;  // since when a jump of the clock waits for fresh knowledge
   std::uint64_t change_count = 0;
--- a/src/flow/errand/desk.cc
+++ b/src/flow/errand/desk.cc
@@ -137,9 +137,9 @@
         if (soonest < 0 || wait < soonest) soonest = wait;
         continue;
       }
-      std::int64_t const share = fleet.cold_share(*worker, pool->cold, self, names);
+      std::int64_t const share = newcomer ? 0 : fleet.cold_share(*worker, pool->cold, self, names);
       Micros const cold = fleet.cold_for(*worker, pool->cold_span, now);
-      if (cold > 0 && guard(Guard::cold_share) && !fleet.cold_room(*worker, pool->cold, self, names, now)) {
+      if (cold > 0 && guard(Guard::cold_share) && !fleet.cold_room(*worker, share, now)) {
         cold_shares += share;
         if (cold_ends < 0 || cold < cold_ends) cold_ends = cold;
         continue;
--- a/src/flow/errand/desk.h
+++ b/src/flow/errand/desk.h
@@ -71,7 +71,11 @@
   void hold(bool held_) { held = held_; }
   void ready(bool ready_) { open = ready_; }
   void drain() { draining = true; }
-  void nodes(std::set<std::string> names_) { names = std::move(names_); }
+  // All router nodes that may send, and whether this one is new among them: then it has no share yet (§6.6).
+  void nodes(std::set<std::string> names_, bool newcomer_) {
+    names = std::move(names_);
+    newcomer = newcomer_;
+  }
 
   void fresh(std::uint64_t id, Ask ask, Micros now, DeskOut& out);
   void sent(std::uint64_t id);   // a byte may have left
@@ -135,6 +139,7 @@
   std::shared_ptr<Creed const> rules = std::make_shared<Creed>();
   std::set<std::string> shut;
   std::set<std::string> names;
+  bool newcomer = false;
   bool held = false;
   bool open = false;
   bool draining = false;
--- a/src/flow/fleet/fleet.cc
+++ b/src/flow/fleet/fleet.cc
@@ -150,6 +150,8 @@
     worker.row.slots = entry.slots;
     begin_life(worker, entry.incarnation);
   }
+  if (!guard(Guard::tombstone) && entry.incarnation == worker.row.incarnation && said == Standing::serving)
+    worker.standing = said;
   // §4.3: an entry can end a life; only this node's own list or a new incarnation can undo that.
   if (entry.incarnation == worker.row.incarnation && said != Standing::serving &&
       worker.standing == Standing::serving) {
@@ -169,7 +171,7 @@
 void Fleet::reconcile(std::map<std::string, wire::EntryT> const& entries, Micros now) {
   for (std::pair<std::string const, wire::EntryT> const& item : entries) {
     Worker const* const worker = find(worker_of(item.first));
-    if (worker != nullptr && worker->buried >= item.second.incarnation) continue;
+    if (worker != nullptr && worker->buried >= item.second.incarnation && guard(Guard::tombstone)) continue;
     take_entry(item.second, now);
   }
 }
@@ -227,10 +229,9 @@
   return n >= share;
 }
 
-bool Fleet::cold_room(Worker& worker, std::int64_t bound, std::string const& self, std::set<std::string> const& names,
-                      Micros now) const {
+bool Fleet::cold_room(Worker& worker, std::int64_t share, Micros now) const {
   while (!worker.sends.empty() && now - worker.sends.front() >= cold_window) worker.sends.pop_front();
-  return static_cast<std::int64_t>(worker.sends.size()) < cold_share(worker, bound, self, names);
+  return static_cast<std::int64_t>(worker.sends.size()) < share;
 }
 
 void Fleet::peer_legs(std::string const& peer, wire::LoadsT const& loads, Micros now) {
--- a/src/flow/fleet/fleet.h
+++ b/src/flow/fleet/fleet.h
@@ -97,9 +97,8 @@
     Micros const most = span + span / 16;
     return worker.woke < 0 ? most : std::max<Micros>(0, worker.woke + most - now);
   }
-  // Whether this node may send to a cold worker now; 'names' are all nodes known that may send.
-  bool cold_room(Worker& worker, std::int64_t bound, std::string const& self, std::set<std::string> const& names,
-                 Micros now) const;
+  // Whether this node may send to a cold worker now.
+  bool cold_room(Worker& worker, std::int64_t share, Micros now) const;
   // Whether this node has sent its share since the worker last answered: it may have ended and come back since.
   // A node without a share asks right before it sends.
   bool unsure(Worker const& worker, std::int64_t share, Micros now) const;
--- a/src/ground/kinds.h
+++ b/src/ground/kinds.h
@@ -23,6 +23,8 @@
   KIND(unknown_model, 404, no, 0, "no lane serves this model")                              \
   KIND(unknown_lane, 404, no, 0, "there is no lane of this name")                           \
   KIND(unknown_zone, 404, no, 0, "no node or worker is known in this zone")                 \
+  KIND(unknown_node, 404, no, 0, "no router node of this name has a seat")                  \
+  KIND(node_alive, 409, no, 0, "a node that is alive is not forgotten")                     \
   KIND(unknown_change, 404, no, 0, "no chosen value remembers this change")                 \
   KIND(too_large, 413, no, 0, "the body is larger than the limit")                          \
   KIND(too_slow, 408, no, 1000, "the body did not arrive in time")                          \
--- a/src/hull/host.cc
+++ b/src/hull/host.cc
@@ -190,10 +190,10 @@
   if (out.read_list) {
     if (fires(Point::list_fail)) {
       NodeOut more;
-      node->list(std::nullopt, now(), more);
+      node->list(std::nullopt, true, now(), more);
       act(more);
     } else {
-      legs->get(settings.platform, "/workers", millis(1500), [this](bool good, bool, std::string const& body) {
+      legs->get(settings.platform, "/workers", seconds(1), [this](bool good, bool refused, std::string const& body) {
         std::optional<std::vector<ListRow>> rows;
         if (good) {
           Result<std::vector<ListRow>> read =
@@ -201,7 +201,7 @@
           if (read) rows = std::move(read.value());
         }
         NodeOut more;
-        node->list(rows, now(), more);
+        node->list(rows, refused || !body.empty(), now(), more);
         act(more);
       });
     }
@@ -323,6 +323,15 @@
     if (call.method != "POST") return refuse(call.id, Fault{Kind::bad_method, "", ""});
     if (!node->zone_known(change.text))
       return refuse(call.id, Fault{Kind::unknown_zone, "nothing is known of the zone '" + change.text + "'", ""});
+  } else if (call.path.rfind("/v1/nodes/", 0) == 0) {
+    std::string const rest = call.path.substr(10);
+    std::size_t const cut = rest.rfind('/');
+    if (cut == std::string::npos || rest.substr(cut) != "/forget") return refuse(call.id, Fault{Kind::not_found, "", ""});
+    if (call.method != "POST") return refuse(call.id, Fault{Kind::bad_method, "", ""});
+    std::string const name = rest.substr(0, cut);
+    if (std::optional<Fault> const why = node->keeps(name)) return refuse(call.id, *why);
+    change.sort = Change::Sort::strike;
+    change.seat = *seat_of(*node->learner.value, name);
   } else if (call.path.rfind("/v1/changes/", 0) == 0 && call.method == "GET") {
     change.sort = Change::Sort::read;
     asked[call.id] = {change.sort, call.path.substr(12)};
--- a/src/kin/mesh.cc
+++ b/src/kin/mesh.cc
@@ -32,15 +32,22 @@
   }
 }
 
-std::vector<std::string> Mesh::perhaps_live() const {
-  std::vector<std::string> out;
+bool Mesh::gone(std::string const& name) const {
+  std::map<std::string, Peer>::const_iterator const spot = roll.peers.find(name);
+  if (spot == roll.peers.end()) return false;
+  Peer const& peer = spot->second;
+  return peer.wire == 0 && (peer.refused || peer.state() == State::leaving);
+}
+
+Micros Mesh::half_heard(Micros now) const {
+  std::vector<Micros> heard{now};
   for (std::pair<std::string const, Peer> const& item : roll.peers) {
-    Peer const& peer = item.second;
-    bool const left = peer.state() == State::leaving && peer.wire == 0;
-    bool const dead = peer.wire == 0 && peer.refused;
-    if (!left && !dead) out.push_back(item.first);
+    if (gone(item.first)) continue;
+    std::map<WireId, Wire>::const_iterator const wire = wires.find(item.second.wire);
+    heard.push_back(item.second.wire == 0 || wire == wires.end() ? -1 : wire->second.heard);
   }
-  return out;
+  std::sort(heard.rbegin(), heard.rend());
+  return heard[(heard.size() + 1) / 2 - 1];
 }
 
 void Mesh::opened(WireId id, bool outbound, std::string const& address, Micros now, Sends& out) {
@@ -100,7 +107,7 @@
     if (peer.member.address != address) continue;
     peer.dialling = false;
     if (peer.wire != 0) continue;
-    peer.refused = refused;
+    peer.refuse(refused, now);
     // A refusal is proof that no process is there: the probe need not run out its time.
     if (refused && (peer.state() == State::alive || peer.state() == State::suspected)) {
       for (std::map<std::uint64_t, Probe>::iterator it = probes.begin(); it != probes.end();)
@@ -119,7 +126,7 @@
   // An entry machine was exchanged: another name answers at this address, so this one is no more (§3.3).
   for (std::pair<std::string const, Peer> const& item : roll.peers)
     if (item.second.wire != 0 && item.second.member.address == peer.member.address) {
-      peer.refused = true;
+      peer.refuse(true, now);
       return;
     }
   peer.dialling = true;
@@ -170,7 +177,7 @@
   std::map<std::uint64_t, Probe>::iterator const spot = probes.find(seq);
   if (spot == probes.end()) return;
   std::map<std::string, Peer>::iterator const who = roll.peers.find(spot->second.peer);
-  if (who != roll.peers.end()) who->second.refused = false;
+  if (who != roll.peers.end()) who->second.refuse(false, now);
   probes.erase(spot);
 }
 
@@ -272,9 +279,10 @@
   std::string const& name = hello.self->name;
   wires[id].peer = name;
   wires[id].life = hello.self->incarnation;
+  roll.unstrike(name);
   if (roll.merge(*hello.self, now) == Roll::News::fresh) tell_member(*hello.self, out);
   Peer& peer = roll.peers.at(name);
-  peer.refused = false;
+  peer.refuse(false, now);
   if (peer.wire != 0 && peer.wire != id) {
     // §3.2: of two wires the one stays that the name sorting first opened. Of two by the same opener only the
     // opener ends one: the two sides may have seen them in different orders.
--- a/src/kin/mesh.h
+++ b/src/kin/mesh.h
@@ -50,8 +50,11 @@
   // New entries go out without waiting for the round; the round sends again what was not acked.
   void flush_entries(Sends& out, bool again = false);
 
-  // Members that may still serve: not those that left, nor those whose address refuses a dial (§5.5).
-  std::vector<std::string> perhaps_live() const;
+  // Whether a member cannot be serving: it left, or its address refuses a dial (§5.5).
+  bool gone(std::string const& name) const;
+  // Since when fewer than half of all members that may live were heard: at that moment half of them, this node with
+  // them, still were (§4.3). -1 when half of them have no wire here.
+  Micros half_heard(Micros now) const;
 
   Roll roll;
   Ledger ledger;
--- a/src/kin/roll/roll.cc
+++ b/src/kin/roll/roll.cc
@@ -45,6 +45,8 @@
     tell(Event::self_refuted, "incarnation " + std::to_string(self.incarnation));
     return News::refuted;
   }
+  std::map<std::string, std::uint64_t>::const_iterator const gone = struck.find(item.name);
+  if (gone != struck.end() && item.incarnation <= gone->second) return News::none;
   std::map<std::string, Peer>::iterator const spot = peers.find(item.name);
   if (spot == peers.end()) {
     Peer peer;
@@ -58,7 +60,7 @@
   Peer& peer = spot->second;
   if (rank(item) <= rank(peer.member)) return News::none;
   State const old = peer.state();
-  if (item.incarnation > peer.member.incarnation) peer.refused = false;
+  if (item.incarnation > peer.member.incarnation) peer.refuse(false, now);
   if (item.address != peer.member.address) {
     peer.next_dial = 0;
     peer.dialling = false;  // what is under way goes to the old address, and its end will not be known for this peer's
@@ -78,6 +80,42 @@
   announce(peer.member.name, state);
 }
 
+void Roll::seat(wire::SeatT const& item, Micros now) {
+  if (item.name == self.name) return;
+  std::map<std::string, Peer>::iterator const spot = peers.find(item.name);
+  if (spot != peers.end() && spot->second.member.incarnation >= item.incarnation) return;
+  // A life that this node has not heard of: dialled on, and no older proof that nobody is there holds for it.
+  Peer& peer = peers[item.name];
+  bool const fresh = peer.member.name.empty();
+  if (fresh) {
+    peer.member.name = item.name;
+    peer.member.role = static_cast<std::uint8_t>(Role::passage);
+    peer.member.state = static_cast<std::uint8_t>(State::down);
+    peer.since = peer.bare_since = now;
+  }
+  if (peer.member.address != item.address) {
+    peer.member.address = item.address;
+    peer.next_dial = 0;
+    peer.dialling = false;
+  }
+  if (peer.wire == 0) {
+    if (peer.state() == State::leaving) mark(peer, State::down, now);
+    peer.member.incarnation = item.incarnation;
+    peer.member.bump = 0;
+    peer.refuse(false, now);
+  }
+}
+
+void Roll::strike(std::vector<std::unique_ptr<wire::SeatT>> const& list) {
+  struck.clear();
+  for (std::unique_ptr<wire::SeatT> const& item : list) {
+    std::map<std::string, Peer>::iterator const spot = peers.find(item->name);
+    if (spot != peers.end() && (spot->second.wire != 0 || spot->second.member.incarnation > item->incarnation)) continue;
+    if (spot != peers.end()) peers.erase(spot);
+    struck[item->name] = item->incarnation;
+  }
+}
+
 std::vector<std::unique_ptr<wire::MemberT>> Roll::table() const {
   std::vector<std::unique_ptr<wire::MemberT>> out;
   out.push_back(std::make_unique<wire::MemberT>(self));
--- a/src/kin/roll/roll.h
+++ b/src/kin/roll/roll.h
@@ -22,6 +22,11 @@
   Micros pause = 0;
   bool dialling = false;
   bool refused = false;  // its address refused a dial since it was last heard: no process is there
+  Micros refused_at = -1;  // since when
+  void refuse(bool no, Micros now) {
+    if (no != refused) refused_at = now;
+    refused = no;
+  }
   State state() const { return static_cast<State>(member.state); }
   Role role() const { return static_cast<Role>(member.role); }
 };
@@ -37,9 +42,15 @@
   void mark(Peer& peer, State state, Micros now);
   std::vector<std::unique_ptr<wire::MemberT>> table() const;
   void forget(Micros now, Micros age);
+  // What the register says of router nodes: their seats, and those that were struck (§5.9).
+  void seat(wire::SeatT const& item, Micros now);
+  void strike(std::vector<std::unique_ptr<wire::SeatT>> const& list);
+  // It speaks for itself: whatever was struck is here after all.
+  void unstrike(std::string const& name) { struck.erase(name); }
 
   wire::MemberT self;
   std::map<std::string, Peer> peers;
+  std::map<std::string, std::uint64_t> struck;  // names, with the incarnation that was struck
 
   // How many nodes of a role are known, this one with them, whatever their state.
   std::size_t known(Role role) const;
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -18,6 +18,24 @@
 }
 }  // namespace
 
+// Entry machines are exchanged one after another: those that refuse a dial are struck by the duty, those that say
+// nothing by an operator's word; then nobody is waited for, and no share is kept for the gone (§5.9).
+TEST(Exchanges, twenty_exchanges_leave_nothing_behind) {
+  hush(true);
+  WorldPlan plan;
+  plan.shape = shape_of("coop");
+  plan.seed = 5;
+  plan.only = {"exchange"};
+  plan.length = seconds(60);
+  plan.finale = true;
+  WorldEnd const end = World(plan).run();
+  for (std::string const& fault : end.faults) ADD_FAILURE() << fault;
+  EXPECT_GE(end.exchanges, 20u);
+  EXPECT_EQ(end.seats, end.routers);
+  EXPECT_TRUE(end.emptied);
+  EXPECT_TRUE(end.unconfirmed.empty()) << end.unconfirmed.front();
+}
+
 class Worlds : public testing::TestWithParam<char const*> {};
 
 TEST_P(Worlds, the_points_hold) {
@@ -47,11 +65,14 @@
 class Found : public testing::TestWithParam<Once> {};
 
 TEST_P(Found, stays_mended) {
-  for (std::string const& fault : see(GetParam().shape, GetParam().seed, GetParam().only).faults) ADD_FAILURE() << fault;
+  for (std::string const& fault : see(GetParam().shape, GetParam().seed, GetParam().only).faults)
+    ADD_FAILURE() << fault;
 }
 
 std::vector<Once> const found = {
     {"cold_by_a_fast_clock", "utility", 69, {"release", "crowd", "hand", "split"}},
+    {"proposer_and_keepers_gone_after_yes", "coop", 211, {"blank", "power", "closing", "slow"}},
+    {"the_same_at_the_utility", "utility", 28, {"blank", "power", "closing", "slow"}},
     {"sent_by_a_node_without_a_share", "utility", 142, {"release", "crowd", "hand", "split"}},
 };
 std::string once_name(testing::TestParamInfo<Once> const& info) { return info.param.name; }
@@ -88,11 +109,17 @@
     {Guard::fresh_start, "N5", "utility", 1, 20, {"freeze", "leave"}},
     {Guard::zone_veto, "N6", "coop", 1, 12, {}},
     {Guard::spread, "N7", "coop", 1, 4, {"crowd"}},
+    {Guard::seats, "N6", "coop", 1, 12, {"stray"}},
+    {Guard::confirm_all, "N6", "coop", 1, 12, {"stray"}},
+    {Guard::isolation, "N5", "utility", 3, 12, {"group", "leave"}},
+    {Guard::tombstone, "N5", "utility", 26, 12, {"leave", "list", "cut"}},
+    {Guard::sync_first, "N8", "utility", 12, 4, {"slow", "closing", "power"}},
+    {Guard::disk_id, "N9", "utility", 1, 12, {"amnesia"}},
     {Guard::expected, "N8", "coop", 1, 12, {"race", "storm"}},
     {Guard::promise, "N8", "coop", 1, 12, {"race", "storm"}},
     {Guard::bucket, "N10", "coop", 1, 30, {"refuse"}},
     {Guard::cold_share, "N11", "coop", 1, 12, {"release", "crowd"}},
-    {Guard::ask_first, "N11", "utility", 7, 1, {"release", "crowd", "hand", "split"}},
+    {Guard::ask_first, "N11", "coop", 11, 2, {"release", "crowd", "hand"}},
     {Guard::redial, "N12", "coop", 1, 20, {}},
 };
 std::string guard_name(testing::TestParamInfo<Missing> const& info) {
