N12: a planned stop keeps its door open for a grace; the largest description is shown

Cause: SIGTERM closed the door in the moment in which /ready began to say no, so callers who follow /ready were refused until they looked again. Ruled out: work under way being dropped (it never was). scene now follows /ready as a load balancer would, and the schedule rolling restarts every node under load, with kept-alive callers besides. One limit of a description at check, proposer and acceptor; a frame over its limit is an event, no longer silence.

--- a/proof/common/shapes.h
+++ b/proof/common/shapes.h
@@ -53,7 +53,7 @@
 }
 
 // The description of a shape; 'turn' varies it without changing what it means to callers.
-inline std::string description_of(Shape const& shape, int turn) {
+inline std::string description_of(Shape const& shape, int turn, std::size_t size = 0) {
   std::string const wait = std::to_string(2000 + turn % 50);
   std::string out = "{\"format\":1,\n \"locality_ms\":60,\n \"pools\":[\n";
   out += "  {\"name\":\"main\",\"model\":\"tribute\",\"slots\":60,\"cold_per_second\":" + std::to_string(shape.cold) +
@@ -73,6 +73,10 @@
            (kin.safe ? "safe" : "never") + "; backlog 200; tries 2; answer 10s; stall 8s\"}";
     urgency += 2;
   }
+  // As large as asked for, by lanes that no caller uses.
+  for (int i = 0; out.size() + 120 < size; ++i)
+    out += ",\n  {\"name\":\"spare" + std::to_string(i) +
+           "\",\"binding\":\"match user starts \\\"none\\\"; pool main\",\"policy\":\"wait 1s\"}";
   return out + "]}\n";
 }
 
--- a/proof/scene/main.cc
+++ b/proof/scene/main.cc
@@ -41,6 +41,7 @@
   double rate = 90;
   double hot = 0;
   int slots = 60;
+  int grace = 2;
   bool probe = false;
   std::uint64_t seed = 1;
 };
@@ -53,6 +54,7 @@
   pid_t pid = 0;
   bool frozen = false;
   bool cut = false;
+  bool unready = false;  // its /ready said no
   int code = -1;         // as it ended
   Micros off_until = 0;  // bounds on changes do not hold before it was heard again
   std::uint64_t serial = 0;
@@ -156,7 +158,7 @@
     std::ofstream conf(file);
     conf << "name=" << name << "\ncluster=scene" << plan.net << "\nzone=" << zone << "\nmesh=" << address
          << ":7000\nhttp=" << address << ":7080\nseeds=" << seeds << "\nlog=" << plan.folder << "/logs/" << name
-         << ".log\nfaults=true\n";
+         << ".log\nfaults=true\ngrace=" << plan.grace << "\n";
     for (std::size_t i = 0; i + 1 < more.size(); i += 2) conf << more[i].substr(2) << "=" << more[i + 1] << "\n";
     actor.args = {name[0] == 'k' ? "accord" : "passage", "--settings", file};
     actors[name] = actor;
@@ -190,6 +192,7 @@
       ::_exit(127);
     }
     actor.pid = pid;
+    actor.unready = begin > 0;  // until it says otherwise
     actor.frozen = false;
     actor.off_until = now() + seconds(3);
     g_child_watch_add(
@@ -273,9 +276,9 @@
     std::function<void(Got const&)> done;
   };
   void ask(char const* method, std::string const& address, std::string const& path, std::string const& body,
-           std::string const& match, std::function<void(Got const&)> done) {
+           std::string const& match, std::function<void(Got const&)> done, bool keep = false) {
     SoupMessage* const message = soup_message_new(method, ("http://" + address + path).c_str());
-    soup_message_set_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+    if (!keep) soup_message_set_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
     if (!match.empty())
       soup_message_headers_replace(soup_message_get_request_headers(message), "If-Match", match.c_str());
     if (std::string(method) != "GET") {
@@ -406,6 +409,19 @@
         take_metrics(item, got.body);
       });
     }
+    // Callers go where /ready says yes, as a load balancer would.
+    for (Actor* const actor : live_nodes()) {
+      if (actor->name[0] != 'p' || asking.count(actor->name)) continue;
+      asking.insert(actor->name);
+      std::string const name = actor->name;
+      ask("GET", actor->address + ":7080", "/ready", "", "", [this, name](Got const& got) {
+        asking.erase(name);
+        bool const no = got.status == 503;
+        if (got.status == 0 || actors[name].unready == no) return;
+        actors[name].unready = no;
+        write_doors();
+      });
+    }
     // N7: within two seconds of a yes every node that can be reached has it in force.
     for (std::pair<std::uint64_t const, Micros>& item : accepted) {
       if (settled.count(item.first)) continue;
@@ -435,8 +451,8 @@
     return "p1";
   }
 
-  bool apply(std::string const& at, int turn) {
-    std::string const text = description_of(shape, turn);
+  bool apply(std::string const& at, int turn, std::size_t size = 0) {
+    std::string const text = description_of(shape, turn, size);
     Got const got = fetch("PUT", actors[at].address + ":7080", "/v1/description", text, std::to_string(expected));
     return note_change(got, text);
   }
@@ -500,15 +516,16 @@
     std::fflush(stdout);
     if (verb == "kill") end(actors[a], SIGKILL);
     if (verb == "stop") {
-      stopping.push_back(a);
-      write_doors();
       end(actors[a], SIGTERM);
     }
     if (verb == "start") {
       until(seconds(12), [this, &a] { return actors[a].pid == 0; });
       if (a[0] == 'w') ++rows[a].incarnation, worker_args(actors[a]), write_list();
       start(actors[a]);
-      stopping.erase(std::remove(stopping.begin(), stopping.end(), a), stopping.end());
+    }
+    if (verb == "rollall") roll_all();
+    if (verb == "large") {
+      if (!apply(door(), ++turn, static_cast<std::size_t>(std::atoi(a.c_str())) << 10)) resync();
     }
     if (verb == "freeze") {
       actors[a].frozen = true;
@@ -642,6 +659,56 @@
     std::ofstream(to) << out;
   }
 
+  // Every node in turn is stopped as planned and started again, with callers on kept-alive wires besides.
+  void roll_all() {
+    kept_timer = g_timeout_add(
+        40,
+        [](gpointer self) -> gboolean {
+          static_cast<Scene*>(self)->ask_kept();
+          return G_SOURCE_CONTINUE;
+        },
+        this);
+    std::vector<std::string> list;
+    for (std::pair<std::string const, Actor> const& item : actors)
+      if (item.second.node()) list.push_back(item.first);
+    for (std::string const& name : list) {
+      Actor& actor = actors[name];
+      end(actor, SIGTERM);
+      if (!until(seconds(20), [&actor] { return actor.pid == 0; })) fault("N12", name + " does not end");
+      if (actor.code != 0) fault("N12", name + " ended with " + std::to_string(actor.code));
+      start(actor);
+      bool const back = until(seconds(12), [this, &actor] {
+        bool good = false;
+        return fetch("GET", actor.address + ":7080", "/ready", "", "", &good), good;
+      });
+      if (!back) fault("N12", name + " is not ready again");
+    }
+    g_source_remove(kept_timer);
+    if (kept_done < 100) fault("N12", "callers on kept-alive wires saw no traffic");
+    std::printf("%6.1f every node was restarted; %d answers on kept-alive wires\n", clock(), kept_done);
+  }
+
+  void ask_kept() {
+    std::vector<std::string> doors;
+    for (std::pair<std::string const, Actor> const& item : actors)
+      if (item.first[0] == 'p' && item.second.pid > 0 && !item.second.unready) doors.push_back(item.second.address);
+    if (doors.empty()) return;
+    std::string const door = doors[static_cast<std::size_t>(++kept) % doors.size()] + ":7080";
+    std::string const body = "{\"model\":\"tribute\",\"user\":\"" + shape.kinds[1].lane + "-kept-" +
+                             std::to_string(kept) +
+                             "\",\"max_tokens\":2,\"messages\":[{\"role\":\"user\",\"content\":\"kept\"}]}";
+    ask(
+        "POST", door, "/v1/chat/completions", body, "",
+        [this, door](Got const& got) {
+          if (got.status == 200)
+            ++kept_done;
+          else
+            fault("N12",
+                  "a caller on a kept-alive wire to " + door + " got " + std::to_string(got.status) + " " + got.body);
+        },
+        true);
+  }
+
   void race() {
     resync();
     std::vector<Actor*> field;
@@ -740,8 +807,7 @@
   void write_doors() {
     std::ofstream file(plan.folder + "/doors.new");
     for (std::pair<std::string const, Actor> const& item : actors) {
-      bool const stops = std::find(stopping.begin(), stopping.end(), item.first) != stopping.end();
-      if (item.first[0] == 'p' && item.second.pid > 0 && !stops) file << item.second.address << ":7080\n";
+      if (item.first[0] == 'p' && item.second.pid > 0 && !item.second.unready) file << item.second.address << ":7080\n";
     }
     file.close();
     std::filesystem::rename(plan.folder + "/doors.new", plan.folder + "/doors");
@@ -870,11 +936,13 @@
         }
       }
     }
+    std::uint64_t longest = 0;
     std::uint64_t first = 0, again = 0, asked = 0, hit = 0, far = 0, bytes = 0;
     for (std::pair<std::string const, Actor>& item : actors) {
       Actor& actor = item.second;
       if (!actor.node()) continue;
       if (actor.pid > 0) serial_of(actor);
+      if (item.first[0] == 'p') longest = std::max(longest, actor.last["pipit_longest_turn_us"]);
       for (std::pair<std::string const, std::uint64_t>& metric : actor.last) bank(actor, metric.first, metric.second);
       bytes += actor.last.count("pipit_wire_bytes_total") ? actor.last["pipit_wire_bytes_total"] : 0;
       first += actor.first_sends;
@@ -898,8 +966,11 @@
     if (chorus.find("\"faults\":{}") == std::string::npos) fault("chorus", "the callers found faults");
     if (chorus.find("\"unanswered\":0,") == std::string::npos) fault("chorus", "calls were never answered");
     if (chorus.find("\"done\":0,") != std::string::npos) fault("chorus", "no traffic was seen");
-    if (plan.schedule == "stop" && chorus.find("\"lost\":0,") == std::string::npos)
-      fault("N12", "a planned stop dropped work");
+    // What a planned stop may not do to callers who follow /ready.
+    if (plan.schedule == "stop" || plan.schedule == "rolling")
+      for (char const* const none : {"\"lost\":0,", "\"failed\":0,", "\"refusals\":0,", "\"retried\":0,"})
+        if (chorus.find(none) == std::string::npos)
+          fault("N12", std::string("a planned stop: callers did not report ") + none);
     jot.open()
         .key("shape")
         .text(shape.name)
@@ -928,6 +999,7 @@
         .number(asked == 0 ? 0 : static_cast<std::int64_t>(hit * 100 / asked))
         .key("far_percent")
         .number(first + again == 0 ? 0 : static_cast<std::int64_t>(far * 100 / (first + again)));
+    jot.key("longest_turn_us").number(static_cast<std::int64_t>(longest));
     jot.key("mesh_bytes")
         .number(static_cast<std::int64_t>(bytes))
         .key("chorus")
@@ -980,7 +1052,10 @@
   std::set<std::uint64_t> settled;
   Micros slowest_force = 0;
   std::set<std::string> watching;
-  std::vector<std::string> stopping;
+  std::set<std::string> asking;
+  int kept = 0;
+  int kept_done = 0;
+  guint kept_timer = 0;
   std::map<std::string, std::pair<Micros, std::int64_t>> marked;
   std::map<std::string, std::pair<Micros, Micros>> emptied;
   std::map<std::string, int> faults;
@@ -997,7 +1072,8 @@
       "rate", options::value(&plan.rate), "requests a second")("hot", options::value(&plan.hot),
                                                                "the share of one hot opening")(
       "slots", options::value(&plan.slots), "requests that a worker runs at once")("seed", options::value(&plan.seed))(
-      "probe", options::bool_switch(&plan.probe), "first try bad input and odd workers")(
+      "grace", options::value(&plan.grace), "the nodes' setting grace")("probe", options::bool_switch(&plan.probe),
+                                                                        "first try bad input and odd workers")(
       "folder", options::value(&plan.folder), "where data, logs and books go")(
       "net", options::value(&plan.net), "the second number of the loopback addresses, 2 to 250")("help", "");
   try {
--- a/proof/scene/steps.h
+++ b/proof/scene/steps.h
@@ -13,6 +13,7 @@
   STEP(kill, "N", "end a process without a word")                            \
   STEP(stop, "N", "ask a node to stop, as for a planned stop")               \
   STEP(start, "N", "start a process again as it was")                        \
+  STEP(rollall, "", "stop and start every node in turn, as planned")         \
   STEP(freeze, "N", "stop a process's clock")                                \
   STEP(wake, "N", "let it go on")                                            \
   STEP(cut, "n", "cut a node off from every other node")                     \
@@ -27,6 +28,7 @@
   STEP(tooth, "z", "run ordeal where the rest cannot carry; it must refuse") \
   STEP(broken, "z", "interrupt ordeal; it must put the zone back")           \
   STEP(apply, "", "apply a new description")                                 \
+  STEP(large, "#", "apply a description of that many KiB")                   \
   STEP(race, "", "apply two rival descriptions at once")                     \
   STEP(storm, "#", "apply that many descriptions, one upon another")         \
   STEP(leave, "w", "mark a worker as leaving in the list")                   \
--- a/src/canon/register/acceptor.cc
+++ b/src/canon/register/acceptor.cc
@@ -1,4 +1,6 @@
 #include "canon/register/acceptor.h"
+
+#include "canon/creed/creed.h"
 #include "ground/guards.h"
 
 namespace pipit {
@@ -46,7 +48,9 @@
     wire::AcceptedT ans;
     ans.req = ask->req;
     ans.disk = slate.disk;
-    ans.ok = ask->value != nullptr && (!(ask->ballot < slate.promised) || !guard(Guard::promise));
+    // One limit for a description, here as at the proposer: what is larger than it fits neither frame nor ring (§5.1).
+    ans.ok = ask->value != nullptr && ask->value->text.size() <= creed_limit &&
+             (!(ask->ballot < slate.promised) || !guard(Guard::promise));
     if (ans.ok) {
       slate.promised = ask->ballot;
       slate.accepted = ask->ballot;
--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -115,7 +115,10 @@
       wire::FrameT frame;
       frame.body = std::move(item.body);
       std::string bytes = encode(frame);
-      if (bytes.size() > frame_limit) continue;
+      if (bytes.size() > frame_limit) {
+        tell(Event::frame_large, item.to + " " + std::to_string(bytes.size()));
+        continue;
+      }
       out.mesh.sends.push_back({peer->second.wire, std::move(bytes)});
     }
   }
--- a/src/ground/settings.cc
+++ b/src/ground/settings.cc
@@ -42,6 +42,7 @@
   std::string seeds;
   std::string models;
   std::string founders;
+  std::int64_t grace = 2;
   std::int64_t drain = 10;
   std::int64_t body = 4096;
   options::options_description keys(keeper
@@ -54,6 +55,8 @@
                                                                             "IP:port for callers and operators")(
       "seeds", options::value(&seeds), "up to three IP:port of other nodes, with commas between")(
       "log", options::value(&out.log), "a file for the log; standard output without it")(
+      "grace", options::value(&grace)->default_value(2),
+      "seconds after SIGTERM in which /ready says no and requests are still taken")(
       "drain", options::value(&drain)->default_value(10), "seconds that a planned stop gives work in flight")(
       "body", options::value(&body)->default_value(4096), "the largest body of a request, in KiB")(
       "faults", options::value(&out.faults)->default_value(false), "allow fault points to be armed (tests only)");
@@ -112,8 +115,10 @@
   for (std::string const& seed : out.seeds)
     if (!good_address(seed))
       return fail(Kind::bad_settings, "seeds: '" + seed + "' is not an IP number with a port from 1 to 65535");
+  if (grace < 0 || grace > 600) return fail(Kind::bad_settings, "grace: from 0 to 600 seconds");
   if (drain < 0 || drain > 600) return fail(Kind::bad_settings, "drain: from 0 to 600 seconds");
   if (body < 1 || body > 65536) return fail(Kind::bad_settings, "body: from 1 to 65536 KiB");
+  out.grace = seconds(grace);
   out.drain = seconds(drain);
   out.body = static_cast<std::size_t>(body) << 10;
   if (keeper) {
--- a/src/ground/settings.h
+++ b/src/ground/settings.h
@@ -21,6 +21,7 @@
   std::vector<std::string> seeds;
   std::vector<std::string> models;
   std::vector<std::string> founders;
+  Micros grace = seconds(2);
   Micros drain = seconds(10);
   std::size_t body = 4u << 20;  // the largest body a caller may send
   bool faults = false;
--- a/src/hull/host.cc
+++ b/src/hull/host.cc
@@ -250,7 +250,7 @@
   bool const get = call.method == "GET";
   if (call.path == "/health" && get) return front->answer(call.id, 200, "application/json", "{\"ok\":true}");
   if (call.path == "/ready" && get) {
-    if (node->draining()) return refuse(call.id, Fault{Kind::draining, "", ""});
+    if (grace_until >= 0) return refuse(call.id, Fault{Kind::draining, "", ""});
     if (!node->ready()) return refuse(call.id, Fault{Kind::not_ready, "", ""});
     return front->answer(call.id, 200, "application/json", "{\"ready\":true}");
   }
@@ -326,7 +326,8 @@
   } else if (call.path.rfind("/v1/nodes/", 0) == 0) {
     std::string const rest = call.path.substr(10);
     std::size_t const cut = rest.rfind('/');
-    if (cut == std::string::npos || rest.substr(cut) != "/forget") return refuse(call.id, Fault{Kind::not_found, "", ""});
+    if (cut == std::string::npos || rest.substr(cut) != "/forget")
+      return refuse(call.id, Fault{Kind::not_found, "", ""});
     if (call.method != "POST") return refuse(call.id, Fault{Kind::bad_method, "", ""});
     std::string const name = rest.substr(0, cut);
     if (std::optional<Fault> const why = node->keeps(name)) return refuse(call.id, *why);
@@ -413,7 +414,7 @@
 std::string Host::status() const {
   Jot jot;
   jot.open().key("name").text(settings.name).key("role").text(role == Role::passage ? "passage" : "accord");
-  jot.key("zone").text(settings.zone).key("ready").truth(node->ready()).key("draining").truth(node->draining());
+  jot.key("zone").text(settings.zone).key("ready").truth(node->ready()).key("draining").truth(grace_until >= 0);
   jot.key("serial").number(static_cast<std::int64_t>(node->learner.serial()));
   jot.key("emptied").list();
   for (std::string const& zone : node->desk.emptied()) jot.text(zone);
@@ -481,6 +482,7 @@
       {"pipit_tree_pulls_total", "counter", node->tide.pulls},
       {"pipit_tree_stalls_total", "counter", node->tide.stalls},
       {"pipit_clock_jumps_total", "counter", node->jumps},
+      {"pipit_longest_turn_us", "gauge", longest_turn},
       {"pipit_serial", "gauge", node->learner.serial()},
       {"pipit_ready", "gauge", node->ready() ? 1u : 0u},
       {"pipit_backlog", "gauge", node->desk.waiting()},
@@ -496,16 +498,29 @@
   return out;
 }
 
+// §8.4: first only /ready says no, and answers close their wires; whoever follows either is elsewhere when the grace
+// ends.
 void Host::begin_drain() {
-  if (drain_until >= 0) {
+  if (grace_until >= 0) {
     g_main_loop_quit(loop);  // asked twice: at once
     return;
   }
-  drain_until = now() + settings.drain;
+  grace_until = now() + settings.grace;
   front->closing();
-  NodeOut out;
-  node->drain(now(), out);
-  act(out);
+  tell(Event::grace_began, "");
+}
+
+void Host::look_drain() {
+  if (grace_until < 0) return;
+  if (drain_until < 0) {
+    if (now() < grace_until) return;
+    drain_until = now() + settings.drain;
+    front->stop_listening();
+    NodeOut out;
+    node->drain(now(), out);
+    act(out);
+  }
+  if ((node->under_way() == 0 && front->open() == 0) || now() >= drain_until) g_main_loop_quit(loop);
 }
 
 void Host::reload() {
@@ -526,12 +541,13 @@
         s.mesh != settings.mesh || s.http != settings.http || s.data != settings.data ||
         s.founders != settings.founders || s.models != settings.models || s.seeds != settings.seeds ||
         s.faults != settings.faults || s.log != settings.log)
-      why = "only platform, drain and body can change without a restart";
+      why = "only platform, grace, drain and body can change without a restart";
   }
   if (!why.empty()) {
     tell(Event::settings_refused, why);
     return;
   }
+  settings.grace = fresh.value().grace;
   settings.drain = fresh.value().drain;
   settings.body = fresh.value().body;
   settings.platform = fresh.value().platform;
@@ -544,11 +560,15 @@
       [](gpointer data) -> gboolean {
         Host& host = *static_cast<Host*>(data);
         NodeOut out;
+        // How late a tick comes tells the longest turn of the loop; a node that stood still is counted elsewhere.
+        Micros const gap = now() - host.ticked;
+        if (host.ticked > 0 && gap < seconds(1))
+          host.longest_turn =
+              std::max(host.longest_turn, static_cast<std::uint64_t>(std::max<Micros>(0, gap - millis(tick_ms))));
+        host.ticked = now();
         host.node->tick(now(), out);
         host.act(out);
-        if (host.drain_until >= 0 &&
-            ((host.node->under_way() == 0 && host.front->open() == 0) || now() >= host.drain_until))
-          g_main_loop_quit(host.loop);
+        host.look_drain();
         return G_SOURCE_CONTINUE;
       },
       this);
--- a/src/hull/host.h
+++ b/src/hull/host.h
@@ -42,6 +42,7 @@
   std::string status() const;
   std::string metrics() const;
   void begin_drain();
+  void look_drain();
   void reload();
   bool dropped_in(WireId id, std::string_view frame);
   bool dropped_out(WireId id, std::string const& frame);
@@ -58,8 +59,11 @@
   std::map<WireId, std::string> wire_names;
   std::map<std::uint64_t, std::pair<Change::Sort, std::string>> asked;  // operators' calls under way
   std::map<std::string, std::uint64_t> kinds;                           // refusals by kind
+  Micros ticked = 0;
+  std::uint64_t longest_turn = 0;
   std::uint64_t wire_bytes = 0;
   std::uint64_t bytes_far = 0;
+  Micros grace_until = -1;
   Micros drain_until = -1;
   int code = 0;
   guint ticker = 0;
