N3, N4: lying workers get honest answers, and the callers' judge names each lie

Cause: an answer was held to be a request's when its id held the request's id anywhere, so request 1 took what was meant for request 12. Ids now count whole. Before: no lie had ever been told to the judge.

--- a/proof/mimic/main.cc
+++ b/proof/mimic/main.cc
@@ -213,7 +213,9 @@
   }
 
   std::string piece_text(Run const& run, std::string const& content, bool chat_chunk) const {
-    std::string const id = run.odd == "otherid" ? "somebody-else" : "chatcmpl-" + run.id;
+    std::string id = "chatcmpl-" + run.id;
+    if (run.odd == "otherid" || (run.odd == "joinid" && run.at >= run.pieces / 2)) id = "somebody-else";
+    if (run.odd == "subid") id += "7";  // another's, of which this one is a part
     Jot jot;
     jot.open().key("id").text(id).key("object").text(chat_chunk ? "chat.completion.chunk" : "chat.completion");
     jot.key("choices")
@@ -246,8 +248,15 @@
   }
 
   void piece(Run& run) {
-    std::string const content =
-        run.tag + "|" + run.name + "|" + std::to_string(run.at) + "|" + std::to_string(run.pieces) + " ";
+    // What a lying worker says of itself; an honest one tells whose piece it is, of which run, and which of how many.
+    bool const later = run.at >= run.pieces / 2;
+    std::string const name = run.odd == "join" && later ? run.name + "b" : run.name;
+    std::string const tag = run.odd == "othertag" ? "somebody" : run.tag;
+    std::int64_t said = run.at;
+    if (run.odd == "skip" && later) ++said;
+    if (run.odd == "repeat" && later) --said;
+    if (run.odd == "order" && run.at < 2) said = 1 - run.at;
+    std::string const content = tag + "|" + name + "|" + std::to_string(said) + "|" + std::to_string(run.pieces) + " ";
     if (!run.stream) {
       if (++run.at < run.pieces) {
         run.timer = g_timeout_add(static_cast<guint>(plan.piece / 1000), on_piece, &run);
@@ -257,6 +266,7 @@
       write("E", run.tag, run.pieces);
       std::string body = piece_text(run, run.tag + "|" + run.name + "|" + std::to_string(run.pieces), false);
       if (run.odd == "torn") body.resize(body.size() / 2);
+      if (run.odd == "err200") body = "{\"error\":{\"message\":\"no\"}}";
       reply(run.message, 200, run.odd == "type" ? "text/plain" : "application/json", body);
       soup_server_message_unpause(run.message);
       return;
@@ -279,7 +289,12 @@
       }
       return;
     }
-    put(run, "data: " + piece_text(run, content, true) + "\n\n");
+    if (run.odd == "early" && later)
+      run.at = run.pieces - 1;
+    else if (run.odd == "err200")
+      put(run, "data: {\"error\":{\"message\":\"no\"}}\n\n");
+    else
+      put(run, "data: " + piece_text(run, content, true) + "\n\n");
     if (++run.at < run.pieces) {
       // A fuller worker speaks more slowly.
       Micros const pause = plan.piece + plan.piece * static_cast<Micros>(active) / static_cast<Micros>(plan.slots);
@@ -287,8 +302,10 @@
       return;
     }
     run.answered = true;
-    write("E", run.tag, run.pieces);
+    if (run.odd != "ghost") write("E", run.tag, run.pieces);
     put(run, "data: [DONE]\n\n");
+    if (run.odd == "twice") put(run, "data: [DONE]\n\n");
+    if (run.odd == "after") put(run, "data: " + piece_text(run, content, true) + "\n\n");
     soup_message_body_complete(soup_server_message_get_response_body(run.message));
     soup_server_message_unpause(run.message);
   }
--- a/proof/scene/main.cc
+++ b/proof/scene/main.cc
@@ -43,6 +43,7 @@
   int slots = 60;
   int grace = 2;
   bool probe = false;
+  bool lies = false;
   std::uint64_t seed = 1;
 };
 
@@ -80,6 +81,7 @@
       std::filesystem::remove(item.path());
     for (std::string const& name : cast.keepers) std::filesystem::remove_all(plan.folder + "/" + name);
     build();
+    if (plan.lies) return lies();
     for (std::pair<std::string const, Actor>& item : actors) start(item.second);
     write_list();
     if (!until(seconds(25), [this] { return all_ready(); })) return fail_now("the fleet was not ready in time");
@@ -734,6 +736,62 @@
     if (got[0].status != 200 && got[1].status != 200) resync();
   }
 
+  // The lies that callers must see for themselves, told to them straight by a worker: the judge names each, or it
+  // proves nothing. An honest worker goes first.
+  int lies() {
+    struct Lie {
+      char const* kind;
+      char const* point;  // in the callers' report; empty for none
+    };
+    Lie const list[] = {{"", ""},        {"skip", "N3"},     {"repeat", "N3"}, {"order", "N3"},
+                        {"join", "N3"},  {"early", "N3"},    {"noend", "N3"},  {"twice", "N3"},
+                        {"after", "N3"}, {"othertag", "N4"}, {"ghost", "N4"},  {"err200", "N4"}};
+    Actor& worker = actors["w1"];
+    start(worker);
+    std::string const address = rows["w1"].address;
+    std::ofstream(plan.folder + "/doors") << address << "\n";
+    int missed = 0;
+    for (Lie const& lie : list) {
+      until(seconds(10), [this, &address, &lie] {
+        bool good = false;
+        return fetch("GET", address, std::string("/odd?times=1000000&kind=") + lie.kind, "", "", &good), good;
+      });
+      Actor callers;
+      callers.name = "chorus";
+      callers.args = {"chorus",
+                      "--shape",
+                      shape.name,
+                      "--entries",
+                      plan.folder + "/doors",
+                      "--books",
+                      plan.folder + "/books",
+                      "--out",
+                      plan.folder + "/chorus.json",
+                      "--rate",
+                      "20",
+                      "--seconds",
+                      "1.5",
+                      "--seed",
+                      std::to_string(++turn)};
+      std::filesystem::remove(plan.folder + "/chorus.json");
+      actors["chorus"] = callers;
+      start(actors["chorus"]);
+      until(seconds(60), [this] { return actors["chorus"].pid == 0; });
+      std::ifstream report(plan.folder + "/chorus.json");
+      std::string text;
+      std::getline(report, text);
+      std::size_t const at = text.find("\"faults\":");
+      std::string const found = at == std::string::npos ? "no report" : text.substr(at);
+      std::string const want = *lie.point == '\0' ? "{}" : std::string("\"") + lie.point + "\"";
+      bool const good = found.find(want) != std::string::npos;
+      std::printf("%s %s: %s\n", good ? "seen" : "MISSED", *lie.kind == '\0' ? "an honest worker" : lie.kind,
+                  found.c_str());
+      if (!good) ++missed;
+    }
+    std::printf("%s\n", missed == 0 ? "PASS" : "FAIL");
+    return missed == 0 ? 0 : 1;
+  }
+
   // Bad input of every kind, and workers that answer oddly: each has its honest answer, and no bad input reaches a
   // worker.
   void probe() {
@@ -780,12 +838,16 @@
       unsigned status;
       char const* words;
     };
-    Odd const odds[] = {{"type", false, 502, "worker_wrong"},       {"type", true, 502, "worker_wrong"},
-                        {"torn", false, 502, "\"ran\":\"yes\""},    {"torn", true, 200, "answer_torn"},
-                        {"noend", true, 200, "answer_torn"},        {"otherid", false, 502, "worker_wrong"},
-                        {"otherid", true, 502, "worker_wrong"},     {"redirect", false, 502, "worker_wrong"},
-                        {"429", false, 503, "\"ran\":\"no\""},      {"503after", true, 503, "\"ran\":\"no\""},
-                        {"503", false, 502, "\"ran\":\"unknown\""}, {"500", true, 502, "\"ran\":\"unknown\""}};
+    Odd const odds[] = {{"type", false, 502, "worker_wrong"},      {"type", true, 502, "worker_wrong"},
+                        {"torn", false, 502, "\"ran\":\"yes\""},   {"torn", true, 200, "answer_torn"},
+                        {"noend", true, 200, "answer_torn"},       {"otherid", false, 502, "worker_wrong"},
+                        {"otherid", true, 502, "worker_wrong"},    {"redirect", false, 502, "worker_wrong"},
+                        {"subid", false, 502, "worker_wrong"},     {"subid", true, 502, "worker_wrong"},
+                        {"joinid", true, 200, "answer_torn"},      {"err200", false, 502, "worker_wrong"},
+                        {"err200", true, 502, "worker_wrong"},     {"twice", true, 200, "answer_torn"},
+                        {"after", true, 200, "answer_torn"},       {"429", false, 503, "\"ran\":\"no\""},
+                        {"503after", true, 503, "\"ran\":\"no\""}, {"503", false, 502, "\"ran\":\"unknown\""},
+                        {"500", true, 502, "\"ran\":\"unknown\""}};
     for (Odd const& odd : odds) {
       for (std::pair<std::string const, Row> const& row : rows)
         fetch("GET", row.second.address, std::string("/odd?times=1&kind=") + odd.kind, "", "");
@@ -1074,6 +1136,7 @@
       "slots", options::value(&plan.slots), "requests that a worker runs at once")("seed", options::value(&plan.seed))(
       "grace", options::value(&plan.grace), "the nodes' setting grace")("probe", options::bool_switch(&plan.probe),
                                                                         "first try bad input and odd workers")(
+      "lies", options::bool_switch(&plan.lies), "only tell the callers lies, and see that they name each")(
       "folder", options::value(&plan.folder), "where data, logs and books go")(
       "net", options::value(&plan.net), "the second number of the loopback addresses, 2 to 250")("help", "");
   try {
--- a/src/flow/errand/parse.h
+++ b/src/flow/errand/parse.h
@@ -18,5 +18,7 @@
   std::string id;
 };
 Piece parse_piece(std::string_view text);
+// Whether an answer's id is that of a request: the whole of it, set off by what is no letter or digit (§7.5).
+bool answers_to(std::string_view id, std::string_view request);
 
 }  // namespace pipit
--- a/src/hull/http/legs.cc
+++ b/src/hull/http/legs.cc
@@ -200,7 +200,7 @@
   while (!leg.over && leg.pieces.next(event)) {
     std::string const text = event_data(event);
     if (text.empty()) continue;  // a comment that keeps the wire awake
-    if (leg.closed) return finish(leg, LegEnd::wrong, "something came after the end");
+    if (leg.closed) return finish(leg, LegEnd::torn, "something came after the end");
     if (text == "[DONE]") {
       if (leg.events == 0) return finish(leg, LegEnd::torn, "an end without a piece");
       leg.closed = true;
@@ -208,9 +208,10 @@
     }
     Piece const piece = parse_piece(text);
     if (!piece.json) return finish(leg, leg.events == 0 ? LegEnd::wrong : LegEnd::torn, "a piece is not JSON");
-    if (piece.error) return finish(leg, LegEnd::torn, "the worker reports an error");
+    if (piece.error)
+      return finish(leg, leg.events == 0 ? LegEnd::wrong : LegEnd::torn, "the worker reports an error");
     // N4: an answer to another request is never passed on.
-    if (piece.id.find(leg.id) == std::string::npos)
+    if (!answers_to(piece.id, leg.id))
       return finish(leg, leg.events == 0 ? LegEnd::wrong : LegEnd::torn, "a piece of another request: " + piece.id);
     ++leg.events;
     ears.piece(leg.start.errand, event);
@@ -225,7 +226,7 @@
     Piece const piece = parse_piece(leg.whole);
     if (!piece.json) return finish(leg, LegEnd::torn, "the answer is not whole JSON");
     if (piece.error) return finish(leg, LegEnd::wrong, "the worker reports an error");
-    if (piece.id.find(leg.id) == std::string::npos)
+    if (!answers_to(piece.id, leg.id))
       return finish(leg, LegEnd::wrong, "the answer to another request: " + piece.id);
     ears.whole(leg.start.errand, std::move(leg.whole));
     return finish(leg, LegEnd::done, "");
--- a/tests/index.cc
+++ b/tests/index.cc
@@ -1,6 +1,7 @@
 // The prefix index: what is believed kept, what is forgotten, and how indexes follow one another.
 #include <gtest/gtest.h>
 
+#include "flow/errand/parse.h"
 #include "flow/index/tide.h"
 
 namespace pipit {
@@ -15,6 +16,15 @@
 Index::Bounds const wide{1000, seconds(100)};
 }  // namespace
 
+TEST(Answers, an_id_is_whole_or_another_s) {
+  EXPECT_TRUE(answers_to("chatcmpl-p1-5-1", "p1-5-1"));
+  EXPECT_TRUE(answers_to("p1-5-1", "p1-5-1"));
+  EXPECT_TRUE(answers_to("p1-5-12/p1-5-1", "p1-5-1"));
+  EXPECT_FALSE(answers_to("chatcmpl-p1-5-12", "p1-5-1"));
+  EXPECT_FALSE(answers_to("chatcmpl-xp1-5-1", "p1-5-1"));
+  EXPECT_FALSE(answers_to("", "p1-5-1"));
+}
+
 TEST(Index, paths_share_what_prompts_share) {
   std::string const open(1000, 'a');
   Path const a = path_of(open + std::string(500, 'b'));
