Every numbered fault point has its turn in real processes

Cause: only four of twenty points were ever armed by a schedule, so the others proved nothing. The schedule points arms each under load, waits until it has fired (or until the keeper ended with the code that is due), and the judges hold the promises meanwhile. New: a full disk, and a lost answer of the register in either round. A point without a turn fails Tables.*.

--- a/proof/scene/main.cc
+++ b/proof/scene/main.cc
@@ -21,6 +21,7 @@
 
 #include "ground/jot.h"
 #include "proof/common/books.h"
+#include "proof/scene/points.h"
 #include "proof/scene/steps.h"
 
 namespace pipit {
@@ -526,6 +527,8 @@
       start(actors[a]);
     }
     if (verb == "rollall") roll_all();
+    if (verb == "points")
+      for (PointPlan const& item : point_plans) one_point(item);
     if (verb == "large") {
       if (!apply(door(), ++turn, static_cast<std::size_t>(std::atoi(a.c_str())) << 10)) resync();
     }
@@ -690,6 +693,63 @@
     std::printf("%6.1f every node was restarted; %d answers on kept-alive wires\n", clock(), kept_done);
   }
 
+  // One fault point: armed, made to fire, seen to have fired, and over; the judges watch all the while.
+  void one_point(PointPlan const& item) {
+    std::vector<std::string> at;
+    for (std::pair<std::string const, Actor> const& actor : actors)
+      if (actor.first == item.at || (std::string(item.at) == "p" && actor.first[0] == 'p' && actor.first != "p4"))
+        at.push_back(actor.first);
+    for (std::string const& name : at) {
+      bool const all = std::string(item.arg) == "others";
+      if (all) actors[name].cut = true;
+      arm(name, static_cast<int>(item.number), all ? others({name}) : item.arg, item.times);
+    }
+    std::string const trigger = item.trigger;
+    if (trigger == "apply") {
+      resync();
+      if (!apply(door(), ++turn)) resync();
+    }
+    if (trigger == "empty") {
+      step(Step{0, "empty", {shape.zones[1]}});
+      step(Step{0, "refill", {shape.zones[1]}});
+    }
+    if (trigger == "renew") step(Step{0, "renew", {"w3"}});
+    if (trigger == "restart") {
+      end(actors["p4"], SIGKILL);
+      start(actors["p4"]);
+    }
+    bool fired = false;
+    if (item.code >= 0) {
+      Actor& actor = actors[item.at];
+      fired = until(seconds(8), [&actor] { return actor.pid == 0; }) && actor.code == item.code;
+      if (!fired) std::printf("%s ended with %d for %d\n", item.at, actor.code, item.code);
+      start(actor);
+      until(seconds(10), [this, &actor] {
+        bool good = false;
+        return fetch("GET", actor.address + ":7080", "/ready", "", "", &good), good;
+      });
+    } else {
+      fired = until(seconds(8), [this, &item, &at] {
+        for (std::string const& name : at) {
+          Got const got =
+              fetch("GET", actors[name].address + ":7080", "/faults?point=" + std::to_string(item.number), "", "");
+          if (got.status == 200 && got.body.find("\"fired\":0}") == std::string::npos) return true;
+        }
+        return false;
+      });
+      Micros const from = now();
+      until(seconds(2), [from, this] { return now() - from > millis(500); });
+      for (std::string const& name : at) {
+        fetch("DELETE", actors[name].address + ":7080", "/faults?point=" + std::to_string(item.number), "", "");
+        if (actors[name].cut) actors[name].off_until = now() + seconds(3);
+        actors[name].cut = false;
+      }
+    }
+    ++fired_points;
+    std::printf("%6.1f point %u at %s %s\n", clock(), item.number, item.at, fired ? "fired" : "did NOT fire");
+    if (!fired) fault("points", "point " + std::to_string(item.number) + " did not fire");
+  }
+
   void ask_kept() {
     std::vector<std::string> doors;
     for (std::pair<std::string const, Actor> const& item : actors)
@@ -1115,6 +1175,7 @@
   Micros slowest_force = 0;
   std::set<std::string> watching;
   std::set<std::string> asking;
+  int fired_points = 0;
   int kept = 0;
   int kept_done = 0;
   guint kept_timer = 0;
--- a/proof/scene/steps.cc
+++ b/proof/scene/steps.cc
@@ -37,6 +37,7 @@
     {"rolling", "2 rollall", 50, "N12: a release of every node, with callers who follow /ready and kept-alive wires"},
     {"large", "3 large 2040; 6 large 2047; 9 slow k1 300; 10 large 2040; 14 apply", 18,
      "N7 N8 with the largest descriptions, and a slow disk"},
+    {"points", "2 points", 28, "every numbered fault point, each in turn"},
     {"exchange", "4 exchange p1; 8 exchange p2; 12 exchange p3; 16 exchange p4", 24,
      "entry machines exchanged for others"},
     {"loss", "6 lossall; 8 backall", 26, "N9 N12: full loss and return"},
--- a/proof/scene/steps.h
+++ b/proof/scene/steps.h
@@ -29,6 +29,7 @@
   STEP(broken, "z", "interrupt ordeal; it must put the zone back")           \
   STEP(apply, "", "apply a new description")                                 \
   STEP(large, "#", "apply a description of that many KiB")                   \
+  STEP(points, "", "arm every numbered fault point in turn")                 \
   STEP(race, "", "apply two rival descriptions at once")                     \
   STEP(storm, "#", "apply that many descriptions, one upon another")         \
   STEP(leave, "w", "mark a worker as leaving in the list")                   \
--- a/src/hull/disk/disk_task.cc
+++ b/src/hull/disk/disk_task.cc
@@ -71,6 +71,10 @@
   if (fires(Point::disk_slow)) g_usleep(static_cast<gulong>(std::stoll("0" + fault_arg(Point::disk_slow)) * 1000));
   Handle const file{::open((folder + "/" + name).c_str(), O_WRONLY | O_CLOEXEC)};
   if (file.fd < 0) return fail(Kind::bad_disk, why("cannot open", name));
+  if (fires(Point::disk_full)) {
+    errno = ENOSPC;
+    return fail(Kind::bad_disk, why("cannot write", name));
+  }
   bool const torn = fires(Point::disk_torn);
   std::size_t const size = torn ? bytes.size() / 2 : bytes.size();
   std::size_t at = 0;
--- a/src/hull/host.cc
+++ b/src/hull/host.cc
@@ -151,6 +151,10 @@
   switch (seen->body_type()) {
     case wire::Body::Chosen:
       return fires(Point::spread_lost);
+    case wire::Body::Promise:
+      return fires(Point::promise_lost);
+    case wire::Body::Accepted:
+      return fires(Point::accepted_lost);
     case wire::Body::Confirm:
       return fires(Point::confirm_lost);
     case wire::Body::Deltas:
--- a/tests/tables.cc
+++ b/tests/tables.cc
@@ -8,6 +8,7 @@
 #include "ground/events.h"
 #include "ground/faults.h"
 #include "ground/kinds.h"
+#include "proof/scene/points.h"
 #include "proof/scene/steps.h"
 
 namespace pipit {
@@ -40,6 +41,15 @@
   }
 }
 
+TEST(Tables, every_fault_point_has_its_turn) {
+  std::size_t n = 0;
+  FaultRow const* const rows = fault_rows(n);
+  std::set<unsigned> planned;
+  for (PointPlan const& item : point_plans) EXPECT_TRUE(planned.insert(item.number).second) << item.number;
+  for (std::size_t i = 0; i < n; ++i) EXPECT_EQ(planned.erase(rows[i].number), 1u) << rows[i].name << " has no turn";
+  EXPECT_TRUE(planned.empty());
+}
+
 TEST(Tables, steps_are_refused_by_name) {
   Cast const cast = cast_of(*shape_of("coop"));
   EXPECT_TRUE(read_steps("1 kill p1; 2.5 split k1,k2 k3,k4; 3 storm 5", cast));
