Late refusals: predictions are believed as they have held, and overdue ones end sooner

Cause: a request that just fitted lost one race after another for slots that other nodes took, and was told so only when its prediction no longer fitted what was left of its wait. Ruled out: requests behind the first 64 looked at (backlogs were under 20).

--- a/src/flow/errand/desk.cc
+++ b/src/flow/errand/desk.cc
@@ -4,6 +4,7 @@
 
 #include "ground/guards.h"
 #include "ground/events.h"
+#include "ground/mix.h"
 
 namespace pipit {
 
@@ -29,6 +30,9 @@
   KindRow const& row = kind_row(fault.kind);
   Ran const ran = errand.legs == 0 ? row.ran : errand.ran;
   if (wait == 0) wait = row.wait;
+  // A crowd that is refused must not come back in one wave: the time is spread over as much again.
+  if (fault.kind == Kind::crowded || fault.kind == Kind::backlog_full || fault.kind == Kind::expired)
+    wait += static_cast<Micros>(stir(errand.id ^ mix(self)) % static_cast<std::uint64_t>(std::max<Micros>(1, wait)));
   if (ran == Ran::no && wait == 0 && row.status >= 429) wait = millis(1000);
   tell(Event::errand_refused, std::string(row.name) + " lane " + (errand.lane == nullptr ? "-" : errand.lane->name) +
                                   " ran " + ran_word(ran) + " back in " + std::to_string(wait / 1000) + " ms");
@@ -36,6 +40,21 @@
   erase(errand);
 }
 
+// How much longer than predicted requests have waited of late: other nodes take what is free too, and the more urgent
+// overtake. A prediction is believed times this.
+void Desk::learn_wait(Errand const& errand, Micros took) {
+  if (errand.guess < millis(20)) return;
+  double const seen = static_cast<double>(took) / static_cast<double>(errand.guess);
+  longer = std::clamp(longer * 0.95 + seen * 0.05, 1.0, 8.0);
+}
+
+// What has waited longer than it was believed to has lost one race after another, and is held to lose more.
+Micros Desk::overdue(Errand const& errand, Micros now) const {
+  return 3 * std::max<Micros>(0, now - errand.came - likely(errand.guess));
+}
+
+Micros Desk::likely(Micros wait) const { return static_cast<Micros>(static_cast<double>(wait) * longer); }
+
 void Desk::erase(Errand& errand) {
   if (errand.is_linked()) {
     backlog.erase(backlog.iterator_to(errand));
@@ -89,9 +108,10 @@
   if (choice.say == Say::go && ahead == 0) return go(errand, choice, now, out);
   if (!choice.ask.empty()) out.asks.push_back(choice.ask);
   if (choice.say == Say::never) return give_up(errand, Fault{choice.kind, "", ""}, choice.wait, out);
-  // §6.5: taken in only when the prediction fits half the wait. The mean says nothing of those more urgent who come
-  // later; without this margin they turn a waiting request into a late refusal.
-  if (choice.say == Say::wait && choice.wait > errand.lane->policy.wait / 2)
+  // §6.5: taken in only when the prediction fits half the wait, as predictions have held of late. The mean says nothing
+  // of those more urgent who come later; without this margin they turn a waiting request into a late refusal.
+  errand.guess = choice.wait;
+  if (choice.say == Say::wait && likely(choice.wait) > errand.lane->policy.wait / 2)
     return give_up(errand, Fault{Kind::crowded, "", ""}, std::clamp<Micros>(choice.wait, millis(500), seconds(10)),
                    out);
   std::int64_t& count = lane_waiting[errand.lane->name];
@@ -350,6 +370,7 @@
     }
     Choice const choice = select(errand, ahead, now);
     if (choice.say == Say::go) {
+      learn_wait(errand, now - errand.came);
       go(errand, choice, now, out);
       continue;
     }
@@ -359,8 +380,10 @@
     // §6.5: what has become hopeless is answered now, not when its time is up.
     if (choice.say == Say::never)
       give_up(errand, Fault{choice.kind, "", ""}, choice.wait, out);
-    else if (now + choice.wait > errand.due)
+    else if (now + std::max(likely(choice.wait), overdue(errand, now)) > errand.due) {
+      learn_wait(errand, errand.lane->policy.wait);
       give_up(errand, Fault{Kind::crowded, "", ""}, std::clamp<Micros>(choice.wait, millis(500), seconds(10)), out);
+    }
   }
 }
 
--- a/src/flow/errand/desk.h
+++ b/src/flow/errand/desk.h
@@ -98,7 +98,8 @@
     Lane const* lane = nullptr;
     std::string model;
     Micros came = 0;
-    Micros due = 0;  // when the lane's wait ends
+    Micros due = 0;    // when the lane's wait ends
+    Micros guess = 0;  // how long it was predicted to wait when it came
     bool safe = false;
     int legs = 0;
     Ran ran = Ran::no;
@@ -131,6 +132,9 @@
   void erase(Errand& errand);
   void release(Errand& errand, Micros now, bool good);
   Micros service(Pool const& pool) const;
+  void learn_wait(Errand const& errand, Micros took);
+  Micros likely(Micros wait) const;
+  Micros overdue(Errand const& errand, Micros now) const;
 
   std::string const self;
   std::string const zone;
@@ -144,6 +148,7 @@
   bool open = false;
   bool draining = false;
   double bucket = 1.0;
+  double longer = 1.0;
   std::map<std::uint64_t, std::unique_ptr<Errand>> errands;
   Backlog backlog;
   std::map<std::string, std::int64_t> lane_waiting;
