Bytes by zone: what crosses a border is counted, for the mesh and for callers apart

New metrics pipit_mesh_bytes_total{zone} and pipit_leg_bytes_total{zone}; scene sums them. Nothing changed in what is sent.

--- a/proof/scene/main.cc
+++ b/proof/scene/main.cc
@@ -1059,11 +1059,19 @@
       }
     }
     std::uint64_t longest = 0;
+    std::map<std::string, std::uint64_t> pairs;  // bytes within a zone and across zones
     std::uint64_t first = 0, again = 0, asked = 0, hit = 0, far = 0, bytes = 0;
     for (std::pair<std::string const, Actor>& item : actors) {
       Actor& actor = item.second;
       if (!actor.node()) continue;
       if (actor.pid > 0) serial_of(actor);
+      for (std::pair<std::string const, std::uint64_t> const& metric : actor.last) {
+        bool const mesh = metric.first.rfind("pipit_mesh_bytes_total{", 0) == 0;
+        if (!mesh && metric.first.rfind("pipit_leg_bytes_total{", 0) != 0) continue;
+        std::string zone = metric.first.substr(metric.first.find('"') + 1);
+        zone.resize(zone.find('"'));
+        pairs[std::string(mesh ? "mesh " : "legs ") + (zone == actor.zone ? "within" : "across")] += metric.second;
+      }
       if (item.first[0] == 'p') longest = std::max(longest, actor.last["pipit_longest_turn_us"]);
       for (std::pair<std::string const, std::uint64_t>& metric : actor.last) bank(actor, metric.first, metric.second);
       bytes += actor.last.count("pipit_wire_bytes_total") ? actor.last["pipit_wire_bytes_total"] : 0;
@@ -1121,7 +1129,10 @@
         .number(asked == 0 ? 0 : static_cast<std::int64_t>(hit * 100 / asked))
         .key("far_percent")
         .number(first + again == 0 ? 0 : static_cast<std::int64_t>(far * 100 / (first + again)));
-    jot.key("longest_turn_us").number(static_cast<std::int64_t>(longest));
+    jot.key("bytes").open();
+    for (std::pair<std::string const, std::uint64_t> const& item : pairs)
+      jot.key(item.first).number(static_cast<std::int64_t>(item.second));
+    jot.shut().key("longest_turn_us").number(static_cast<std::int64_t>(longest));
     jot.key("mesh_bytes")
         .number(static_cast<std::int64_t>(bytes))
         .key("chorus")
--- a/src/hull/host.cc
+++ b/src/hull/host.cc
@@ -71,11 +71,14 @@
       spot->second.begun = true;
       node->leg_began(id);
     }
+    legs_with[spot->second.worker_zone] += event.size() + 2;
     front->piece(id, event + "\n\n", {{"X-Request-Id", spot->second.id}});
   };
   le.whole = [this](std::uint64_t id, std::string body) {
     std::map<std::uint64_t, Caller>::iterator const spot = callers.find(id);
-    if (spot != callers.end()) front->answer(id, 200, "application/json", body, {{"X-Request-Id", spot->second.id}});
+    if (spot == callers.end()) return;
+    legs_with[spot->second.worker_zone] += body.size();
+    front->answer(id, 200, "application/json", body, {{"X-Request-Id", spot->second.id}});
   };
   le.ended = [this](std::uint64_t id, LegEnd end, std::string const& why, Micros back) {
     if (end == LegEnd::done && callers.count(id)) {
@@ -177,6 +180,7 @@
     if (settings.faults && fires(Point::wire_garbage))
       for (std::size_t i = 4; i < send.bytes.size(); ++i) send.bytes[i] = static_cast<char>(send.bytes[i] ^ 0x5a);
     wire_bytes += send.bytes.size();
+    mesh_to[node->mesh.zone_of(send.wire)] += send.bytes.size();
     wires->send(send.wire, std::move(send.bytes));
   }
   for (WireId const id : out.mesh.shuts) {
@@ -184,8 +188,11 @@
     wires->shut(id);
   }
   for (Start const& start : out.desk.starts) {
-    std::map<std::uint64_t, Caller>::const_iterator const spot = callers.find(start.errand);
+    std::map<std::uint64_t, Caller>::iterator const spot = callers.find(start.errand);
     if (spot == callers.end()) continue;
+    Worker const* const worker = node->fleet.find(start.worker);
+    spot->second.worker_zone = worker == nullptr ? "" : worker->row.zone;
+    legs_with[spot->second.worker_zone] += spot->second.body.size();
     legs->start(start, spot->second.id, spot->second.path, spot->second.body, spot->second.stream);
   }
   for (Verdict const& verdict : out.desk.ends) finish(verdict);
@@ -496,6 +503,12 @@
   for (Row const& row : rows)
     out +=
         std::string("# TYPE ") + row.name + " " + row.sort + "\n" + row.name + " " + std::to_string(row.value) + "\n";
+  out += "# TYPE pipit_mesh_bytes_total counter\n";
+  for (std::pair<std::string const, std::uint64_t> const& item : mesh_to)
+    out += "pipit_mesh_bytes_total{zone=\"" + item.first + "\"} " + std::to_string(item.second) + "\n";
+  out += "# TYPE pipit_leg_bytes_total counter\n";
+  for (std::pair<std::string const, std::uint64_t> const& item : legs_with)
+    out += "pipit_leg_bytes_total{zone=\"" + item.first + "\"} " + std::to_string(item.second) + "\n";
   out += "# TYPE pipit_answers_total counter\n";
   for (std::pair<std::string const, std::uint64_t> const& item : kinds)
     out += "pipit_answers_total{kind=\"" + item.first + "\"} " + std::to_string(item.second) + "\n";
--- a/src/hull/host.h
+++ b/src/hull/host.h
@@ -29,6 +29,7 @@
     std::string body;
     bool stream = false;
     bool begun = false;
+    std::string worker_zone;
     Micros came = 0;
   };
   void act(NodeOut& out);
@@ -62,7 +63,8 @@
   Micros ticked = 0;
   std::uint64_t longest_turn = 0;
   std::uint64_t wire_bytes = 0;
-  std::uint64_t bytes_far = 0;
+  std::map<std::string, std::uint64_t> mesh_to;    // bytes sent to nodes, by their zone
+  std::map<std::string, std::uint64_t> legs_with;  // bytes of requests and answers, by the worker's zone
   Micros grace_until = -1;
   Micros drain_until = -1;
   int code = 0;
--- a/src/kin/mesh.cc
+++ b/src/kin/mesh.cc
@@ -39,6 +39,13 @@
   return peer.wire == 0 && (peer.refused || peer.state() == State::leaving);
 }
 
+std::string Mesh::zone_of(WireId id) const {
+  std::map<WireId, Wire>::const_iterator const wire = wires.find(id);
+  if (wire == wires.end()) return "";
+  std::map<std::string, Peer>::const_iterator const peer = roll.peers.find(wire->second.peer);
+  return peer == roll.peers.end() ? "" : peer->second.member.zone;
+}
+
 Micros Mesh::half_heard(Micros now) const {
   std::vector<Micros> heard{now};
   for (std::pair<std::string const, Peer> const& item : roll.peers) {
--- a/src/kin/mesh.h
+++ b/src/kin/mesh.h
@@ -56,6 +56,9 @@
   // them, still were (§4.3). -1 when half of them have no wire here.
   Micros half_heard(Micros now) const;
 
+  // The zone of a wire's peer; empty before it greeted.
+  std::string zone_of(WireId id) const;
+
   Roll roll;
   Ledger ledger;
   std::vector<std::string> fresh;  // keys of entries that peers brought since the core last looked
