--- a/proof/scene/main.cc
+++ b/proof/scene/main.cc
@@ -1059,13 +1059,16 @@
       }
     }
     std::uint64_t longest = 0;
-    std::map<std::string, std::uint64_t> pairs;  // bytes within a zone and across zones
+    std::map<std::string, std::uint64_t> frames;  // bytes by the kind of frame
+    std::map<std::string, std::uint64_t> pairs;   // bytes within a zone and across zones
     std::uint64_t first = 0, again = 0, asked = 0, hit = 0, far = 0, bytes = 0;
     for (std::pair<std::string const, Actor>& item : actors) {
       Actor& actor = item.second;
       if (!actor.node()) continue;
       if (actor.pid > 0) serial_of(actor);
       for (std::pair<std::string const, std::uint64_t> const& metric : actor.last) {
+        if (metric.first.rfind("pipit_frame_bytes_total{", 0) == 0)
+          frames[metric.first.substr(metric.first.find('"') + 1)] += metric.second;
         bool const mesh = metric.first.rfind("pipit_mesh_bytes_total{", 0) == 0;
         if (!mesh && metric.first.rfind("pipit_leg_bytes_total{", 0) != 0) continue;
         std::string zone = metric.first.substr(metric.first.find('"') + 1);
@@ -1132,6 +1135,9 @@
     jot.key("bytes").open();
     for (std::pair<std::string const, std::uint64_t> const& item : pairs)
       jot.key(item.first).number(static_cast<std::int64_t>(item.second));
+    jot.shut().key("frames").open();
+    for (std::pair<std::string const, std::uint64_t> const& item : frames)
+      jot.key(item.first.substr(0, item.first.find('"'))).number(static_cast<std::int64_t>(item.second));
     jot.shut().key("longest_turn_us").number(static_cast<std::int64_t>(longest));
     jot.key("mesh_bytes")
         .number(static_cast<std::int64_t>(bytes))
--- a/src/canon/register/acceptor.cc
+++ b/src/canon/register/acceptor.cc
@@ -12,20 +12,20 @@
   if (inbox.size() < 512) inbox.emplace_back(std::move(from), std::move(body));
 }
 
-wire::PeekedT peeked(wire::RecordT const& slate, std::uint64_t req, bool full) {
+wire::PeekedT peeked(wire::RecordT const& slate, wire::PeekT const& ask) {
   wire::PeekedT out;
-  out.req = req;
+  out.req = ask.req;
   out.disk = slate.disk;
   out.formed = slate.formed;
   out.ballot = slate.accepted;
   if (slate.value) {
     out.serial = slate.value->serial;
-    out.change = slate.value->change;
     out.epoch = slate.value->epoch;
     out.turn = slate.value->turn;
-    for (std::unique_ptr<wire::KeeperT> const& item : slate.value->keepers)
-      out.keepers.push_back(std::make_unique<wire::KeeperT>(*item));
-    if (full) out.value = std::make_unique<wire::ValueT>(*slate.value);
+    if (slate.value->epoch != ask.epoch)
+      for (std::unique_ptr<wire::KeeperT> const& item : slate.value->keepers)
+        out.keepers.push_back(std::make_unique<wire::KeeperT>(*item));
+    if (ask.full) out.value = std::make_unique<wire::ValueT>(*slate.value);
   }
   return out;
 }
--- a/src/canon/register/acceptor.h
+++ b/src/canon/register/acceptor.h
@@ -53,6 +53,7 @@
   std::vector<Letter> held_back;
 };
 
-wire::PeekedT peeked(wire::RecordT const& slate, std::uint64_t req, bool full);
+// The set of keepers goes along only when it is not the one that the asker has.
+wire::PeekedT peeked(wire::RecordT const& slate, wire::PeekT const& ask);
 
 }  // namespace pipit
--- a/src/canon/register/learner.cc
+++ b/src/canon/register/learner.cc
@@ -24,6 +24,7 @@
     wire::PeekT ask;
     ask.req = req;
     ask.age = age;
+    ask.epoch = set.epoch;
     out.push_back(letter(name, std::move(ask)));
   }
 }
--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -138,7 +138,7 @@
     case wire::Body::Peek:
       hear(body.AsPeek()->age, now);
       if (acceptor) {
-        wire::PeekedT ans = peeked(acceptor->held(), body.AsPeek()->req, body.AsPeek()->full);
+        wire::PeekedT ans = peeked(acceptor->held(), *body.AsPeek());
         ans.age = news_age(now);
         letters.push_back(letter(from, std::move(ans)));
       }
--- a/src/hull/host.cc
+++ b/src/hull/host.cc
@@ -181,6 +181,7 @@
       for (std::size_t i = 4; i < send.bytes.size(); ++i) send.bytes[i] = static_cast<char>(send.bytes[i] ^ 0x5a);
     wire_bytes += send.bytes.size();
     mesh_to[node->mesh.zone_of(send.wire)] += send.bytes.size();
+    frame_bytes[flatbuffers::GetSizePrefixedRoot<wire::Frame>(send.bytes.data())->body_type()] += send.bytes.size();
     wires->send(send.wire, std::move(send.bytes));
   }
   for (WireId const id : out.mesh.shuts) {
@@ -506,6 +507,10 @@
   out += "# TYPE pipit_mesh_bytes_total counter\n";
   for (std::pair<std::string const, std::uint64_t> const& item : mesh_to)
     out += "pipit_mesh_bytes_total{zone=\"" + item.first + "\"} " + std::to_string(item.second) + "\n";
+  out += "# TYPE pipit_frame_bytes_total counter\n";
+  for (std::pair<wire::Body const, std::uint64_t> const& item : frame_bytes)
+    out += std::string("pipit_frame_bytes_total{frame=\"") + wire::EnumNameBody(item.first) + "\"} " +
+           std::to_string(item.second) + "\n";
   out += "# TYPE pipit_leg_bytes_total counter\n";
   for (std::pair<std::string const, std::uint64_t> const& item : legs_with)
     out += "pipit_leg_bytes_total{zone=\"" + item.first + "\"} " + std::to_string(item.second) + "\n";
--- a/src/hull/host.h
+++ b/src/hull/host.h
@@ -63,8 +63,9 @@
   Micros ticked = 0;
   std::uint64_t longest_turn = 0;
   std::uint64_t wire_bytes = 0;
-  std::map<std::string, std::uint64_t> mesh_to;    // bytes sent to nodes, by their zone
-  std::map<std::string, std::uint64_t> legs_with;  // bytes of requests and answers, by the worker's zone
+  std::map<std::string, std::uint64_t> mesh_to;     // bytes sent to nodes, by their zone
+  std::map<wire::Body, std::uint64_t> frame_bytes;  // bytes sent to nodes, by the kind of frame
+  std::map<std::string, std::uint64_t> legs_with;   // bytes of requests and answers, by the worker's zone
   Micros grace_until = -1;
   Micros drain_until = -1;
   int code = 0;
