--- /dev/null
+++ b/src/core/changes.cc
@@ -0,0 +1,140 @@
+// Operators' changes in a node: asked, settled, confirmed (§5.3, §5.5).
+#include <algorithm>
+
+#include "core/node.h"
+#include "ground/events.h"
+#include "ground/guards.h"
+
+namespace pipit {
+
+namespace {
+constexpr Micros confirm_bound = millis(2000);
+constexpr Micros half_bound = millis(1200);
+}  // namespace
+
+void Node::operate(std::uint64_t id, Change change, Micros now, NodeOut& out) {
+  watch_clock(now);
+  if (change.id.empty())
+    change.id = plan.name + "-" + std::to_string(plan.incarnation) + "-" + std::to_string(++change_count);
+  Change const kept = change;
+  bool const taken = proposer.ask(
+      std::move(change),
+      [this, id, kept](Outcome const& outcome) {
+        ended.push_back({id, kept, outcome});
+      },
+      now);
+  if (!taken) {
+    Reply reply;
+    reply.id = id;
+    reply.change = kept.id;
+    reply.outcome.sort = Outcome::Sort::refused;
+    reply.outcome.fault.kind = Kind::too_many_changes;
+    out.replies.push_back(std::move(reply));
+    return;
+  }
+  std::vector<Letter> letters;
+  proposer.tick(now, letters);
+  dispatch(letters, now, out);
+  settle_ended(now, out);
+}
+
+void Node::settle_ended(Micros now, NodeOut& out) {
+  while (!ended.empty()) {
+    Ended const item = std::move(ended.front());
+    ended.erase(ended.begin());
+    settle(item.id, item.change, item.outcome, now, out);
+  }
+}
+
+void Node::settle(std::uint64_t id, Change const& change, Outcome const& outcome, Micros now, NodeOut& out) {
+  Reply reply;
+  reply.id = id;
+  reply.change = change.id;
+  reply.outcome = outcome;
+  bool const holds = outcome.sort == Outcome::Sort::chosen || outcome.sort == Outcome::Sort::kept;
+  std::uint64_t const req = ++next_req;
+  if (holds) {
+    tell(Event::chosen, "serial " + std::to_string(outcome.value.serial) + " change " + outcome.value.change);
+    bool const fresh = learner.adopt(outcome.value, now);
+    if (fresh) after_value(now, out);
+    // Also when a poll brought it here first: the others may hear of it from nobody else.
+    if (fresh || outcome.sort == Outcome::Sort::chosen || change.sort >= Change::Sort::empty)
+      spread(outcome.value, req, out);
+    look_ready(now, out);
+  } else {
+    tell(outcome.sort == Outcome::Sort::unknown ? Event::change_lost : Event::change_refused,
+         change.id + " " + kind_row(outcome.fault.kind).name);
+    if (outcome.value.serial > 0 && learner.adopt(outcome.value, now)) after_value(now, out);
+  }
+  if (id == 0) {
+    (change.sort == Change::Sort::seat ? seat_busy : duty_busy) = false;
+    return;
+  }
+  if (change.sort == Change::Sort::empty && holds) {
+    Waiting wait;
+    wait.serial = outcome.serial > 0 ? outcome.serial : outcome.value.serial;
+    wait.due = now + confirm_bound;
+    // Whoever may serve: router nodes that are heard of, and every one that has a seat (§5.9).
+    for (std::string const& name : passages(true))
+      if (guard(Guard::confirm_all)) wait.owe.insert(name);
+    for (std::unique_ptr<wire::SeatT> const& seat : outcome.value.seats)
+      if (guard(Guard::seats) && guard(Guard::confirm_all)) wait.owe.insert(seat->name);
+    wait.owe.erase(plan.name);
+    wait.reply = std::move(reply);
+    waiting.emplace(req, std::move(wait));
+    settle_waiting(now, out);
+    return;
+  }
+  if (outcome.sort == Outcome::Sort::chosen && guard(Guard::spread)) {
+    // §5.5: yes is said once half of the router nodes have it, so that it gets round whatever happens to the rest.
+    Waiting wait;
+    wait.half = outcome.value.turn;
+    wait.due = now + half_bound;
+    wait.reply = std::move(reply);
+    waiting.emplace(req, std::move(wait));
+    settle_waiting(now, out);
+    return;
+  }
+  out.replies.push_back(std::move(reply));
+}
+
+void Node::settle_waiting(Micros now, NodeOut& out) {
+  for (std::map<std::uint64_t, Waiting>::iterator it = waiting.begin(); it != waiting.end();) {
+    Waiting& item = it->second;
+    std::set<std::string> owe;
+    for (std::string const& name : item.owe)
+      if (owes(item, name)) owe.insert(name);
+    bool const more = item.half > 0 ? !half_has(item.half) : !owe.empty();
+    if (more && now < item.due) {
+      ++it;
+      continue;
+    }
+    item.reply.missing.assign(owe.begin(), owe.end());
+    out.replies.push_back(std::move(item.reply));
+    it = waiting.erase(it);
+  }
+}
+
+bool Node::half_has(std::uint64_t turn) const {
+  std::size_t all = 0;
+  std::size_t have = 0;
+  for (std::string const& name : passages(false)) {
+    ++all;
+    std::map<std::string, Peer>::const_iterator const peer = mesh.roll.peers.find(name);
+    if ((peer == mesh.roll.peers.end() ? learner.turn() : peer->second.member.turn) >= turn) ++have;
+  }
+  return have > 0 && have * 2 >= all;
+}
+
+bool Node::zone_known(std::string const& zone) const {
+  if (zone == plan.zone) return true;
+  for (std::pair<std::string const, Peer> const& item : mesh.roll.peers)
+    if (item.second.member.zone == zone) return true;
+  for (std::pair<std::string const, wire::EntryT> const& item : mesh.ledger.all())
+    if (item.second.zone == zone) return true;
+  for (std::pair<std::string const, Worker> const& item : fleet.workers)
+    if (item.second.row.zone == zone) return true;
+  return learner.value && std::count(learner.value->emptied.begin(), learner.value->emptied.end(), zone) > 0;
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/hull/doors.cc
@@ -0,0 +1,182 @@
+// Calls that come in: from callers, operators and tests (§7.1, §8.1).
+#include <cstdlib>
+
+#include "canon/creed/creed.h"
+#include "flow/errand/parse.h"
+#include "ground/events.h"
+#include "ground/faults.h"
+#include "ground/jot.h"
+#include "hull/host.h"
+
+namespace pipit {
+
+namespace {
+Micros now() { return g_get_monotonic_time(); }
+}  // namespace
+
+void Host::on_call(Front::Call const& call) {
+  bool const get = call.method == "GET";
+  if (call.path == "/health" && get) return front->answer(call.id, 200, "application/json", "{\"ok\":true}");
+  if (call.path == "/ready" && get) {
+    if (grace_until >= 0) return refuse(call.id, Fault{Kind::draining, "", ""});
+    if (!node->ready()) return refuse(call.id, Fault{Kind::not_ready, "", ""});
+    return front->answer(call.id, 200, "application/json", "{\"ready\":true}");
+  }
+  if (call.path == "/metrics" && get) return front->answer(call.id, 200, "text/plain; version=0.0.4", metrics());
+  if (call.path == "/v1/status" && get) return front->answer(call.id, 200, "application/json", status());
+  if (call.path == "/faults" && settings.faults) return on_fault(call);
+  bool const chat = call.path == "/v1/chat/completions";
+  if (chat || call.path == "/v1/completions") {
+    if (role != Role::passage) return refuse(call.id, Fault{Kind::not_found, "a keeper serves no requests", ""});
+    if (call.method != "POST") return refuse(call.id, Fault{Kind::bad_method, "", ""});
+    return on_errand(call, chat);
+  }
+  on_operator(call);
+}
+
+void Host::on_errand(Front::Call const& call, bool chat) {
+  if (call.body.size() > settings.body)
+    return refuse(call.id,
+                  Fault{Kind::too_large, "a body has at most " + std::to_string(settings.body) + " bytes", ""});
+  Result<Ask> ask = parse_ask(call.body, chat ? Form::chat : Form::completion);
+  if (!ask) return refuse(call.id, ask.error());
+  ask.value().lane = call.header("X-Pipit-Lane");
+  std::string const repeat = call.header("X-Pipit-Repeat");
+  if (!repeat.empty() && repeat != "safe" && repeat != "never")
+    return refuse(call.id, Fault{Kind::bad_request, "X-Pipit-Repeat takes safe or never", ""});
+  ask.value().safe = repeat == "safe";
+  Caller caller;
+  caller.id = settings.name + "-" + std::to_string(node->plan.incarnation) + "-" + std::to_string(call.id);
+  caller.path = call.path;
+  caller.body = call.body;
+  caller.stream = ask.value().facts.stream;
+  caller.came = now();
+  callers.emplace(call.id, std::move(caller));
+  NodeOut out;
+  node->errand(call.id, std::move(ask.value()), now(), out);
+  act(out);
+}
+
+void Host::on_operator(Front::Call const& call) {
+  Change change;
+  if (call.path == "/v1/description") {
+    if (call.method == "GET") {
+      change.sort = Change::Sort::read;
+    } else if (call.method == "PUT") {
+      std::string const expected = call.header("If-Match");
+      if (expected.empty() || expected.size() > 18 || expected.find_first_not_of("0123456789") != std::string::npos)
+        return refuse(call.id, Fault{Kind::bad_request, "If-Match with the expected serial is needed", ""});
+      Result<std::shared_ptr<Creed const>> const made = read_creed(call.body);
+      if (!made) {
+        tell(Event::change_refused, made.error().why);
+        return refuse(call.id, made.error());
+      }
+      change.sort = Change::Sort::apply;
+      change.text = call.body;
+      change.expected = std::stoull(expected);
+    } else {
+      return refuse(call.id, Fault{Kind::bad_method, "", ""});
+    }
+  } else if (call.path.rfind("/v1/zones/", 0) == 0) {
+    std::string const rest = call.path.substr(10);
+    std::size_t const cut = rest.rfind('/');
+    std::string const verb = cut == std::string::npos ? "" : rest.substr(cut + 1);
+    change.text = rest.substr(0, cut);
+    if (verb == "empty")
+      change.sort = Change::Sort::empty;
+    else if (verb == "refill")
+      change.sort = Change::Sort::refill;
+    else
+      return refuse(call.id, Fault{Kind::not_found, "", ""});
+    if (call.method != "POST") return refuse(call.id, Fault{Kind::bad_method, "", ""});
+    if (!node->zone_known(change.text))
+      return refuse(call.id, Fault{Kind::unknown_zone, "nothing is known of the zone '" + change.text + "'", ""});
+  } else if (call.path.rfind("/v1/nodes/", 0) == 0) {
+    std::string const rest = call.path.substr(10);
+    std::size_t const cut = rest.rfind('/');
+    if (cut == std::string::npos || rest.substr(cut) != "/forget")
+      return refuse(call.id, Fault{Kind::not_found, "", ""});
+    if (call.method != "POST") return refuse(call.id, Fault{Kind::bad_method, "", ""});
+    std::string const name = rest.substr(0, cut);
+    if (std::optional<Fault> const why = node->keeps(name)) return refuse(call.id, *why);
+    change.sort = Change::Sort::strike;
+    change.seat = *seat_of(*node->learner.value, name);
+  } else if (call.path.rfind("/v1/changes/", 0) == 0 && call.method == "GET") {
+    change.sort = Change::Sort::read;
+    asked[call.id] = {change.sort, call.path.substr(12)};
+    NodeOut out;
+    node->operate(call.id, std::move(change), now(), out);
+    return act(out);
+  } else {
+    return refuse(call.id, Fault{Kind::not_found, "", ""});
+  }
+  asked[call.id] = {change.sort, ""};
+  NodeOut out;
+  node->operate(call.id, std::move(change), now(), out);
+  act(out);
+}
+
+void Host::reply(Reply const& item) {
+  std::map<std::uint64_t, std::pair<Change::Sort, std::string>>::iterator const spot = asked.find(item.id);
+  if (spot == asked.end()) return;
+  std::pair<Change::Sort, std::string> const what = spot->second;
+  asked.erase(spot);
+  Outcome const& outcome = item.outcome;
+  if (outcome.sort == Outcome::Sort::refused || outcome.sort == Outcome::Sort::unknown) {
+    ++kinds[kind_row(outcome.fault.kind).name];
+    KindRow const& row = kind_row(outcome.fault.kind);
+    Answer const out = answer_for(outcome.fault);
+    std::map<std::string, std::string> more = {{"X-Pipit-Change", item.change}};
+    if (row.wait > 0) more["Retry-After"] = std::to_string((row.wait + seconds(1) - 1) / seconds(1));
+    return front->answer(item.id, out.status, "application/json", out.body, more);
+  }
+  wire::ValueT const& value = outcome.value;
+  if (what.first == Change::Sort::read && what.second.empty()) {
+    std::string emptied;
+    for (std::string const& zone : value.emptied) emptied += (emptied.empty() ? "" : ",") + zone;
+    return front->answer(item.id, 200, "application/json", value.text,
+                         {{"X-Pipit-Serial", std::to_string(value.serial)},
+                          {"X-Pipit-Emptied", emptied},
+                          {"ETag", std::to_string(value.serial)}});
+  }
+  if (what.first == Change::Sort::read) {
+    std::uint64_t const serial = Proposer::serial_of(value, what.second);
+    if (serial == 0) return refuse(item.id, Fault{Kind::unknown_change, "", ""});
+    Jot jot;
+    jot.open().key("change").text(what.second).key("serial").number(static_cast<std::int64_t>(serial)).shut();
+    return front->answer(item.id, 200, "application/json", jot.take());
+  }
+  Jot jot;
+  jot.open()
+      .key("serial")
+      .number(static_cast<std::int64_t>(outcome.serial > 0 ? outcome.serial : value.serial))
+      .key("change")
+      .text(item.change);
+  jot.key("changed").truth(outcome.sort == Outcome::Sort::chosen);
+  if (what.first == Change::Sort::empty) {
+    jot.key("unconfirmed").list();
+    for (std::string const& name : item.missing) jot.text(name);
+    jot.unlist();
+  }
+  jot.shut();
+  front->answer(item.id, item.missing.empty() ? 200 : 202, "application/json", jot.take());
+}
+
+void Host::on_fault(Front::Call const& call) {
+  // A test's door: {"point": 1} with the argument and the count in the query.
+  unsigned const number = static_cast<unsigned>(
+      std::strtoul(call.query.count("point") ? call.query.at("point").c_str() : "0", nullptr, 10));
+  std::string const arg = call.query.count("arg") ? call.query.at("arg") : "";
+  std::uint64_t const times =
+      call.query.count("times") ? std::strtoull(call.query.at("times").c_str(), nullptr, 10) : 0;
+  if (call.method == "GET") {
+    Jot jot;
+    jot.open().key("fired").number(static_cast<std::int64_t>(fault_count(static_cast<Point>(number)))).shut();
+    return front->answer(call.id, 200, "application/json", jot.take());
+  }
+  bool const good = call.method == "DELETE" ? disarm_fault(number) : arm_fault(number, arg, times);
+  if (!good) return refuse(call.id, Fault{Kind::not_found, "there is no fault point " + std::to_string(number), ""});
+  front->answer(call.id, 200, "application/json", "{\"ok\":true}");
+}
+
+}  // namespace pipit
