--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -14,7 +14,6 @@
 constexpr Micros load_gap = millis(200);
 constexpr Micros jump = seconds(1);
 constexpr Micros fresh_bound = seconds(3);
-constexpr Micros newcomer = seconds(2);  // for which a node that took its seat sends nothing to cold workers
 
 wire::MemberT self_of(NodePlan const& plan) {
   wire::MemberT out;
@@ -393,6 +392,7 @@
     look_hold();
     desk.work(now, out.desk);
   }
+  if (!able && newcomer(now)) return;
   if (!able) {
     able = true;
     desk.ready(true);
@@ -446,7 +446,7 @@
     std::set<std::string> names = passages(true);
     if (learner.value)
       for (std::unique_ptr<wire::SeatT> const& seat : learner.value->seats) names.insert(seat->name);
-    desk.nodes(std::move(names), seat_at >= 0 && now - seat_at < newcomer);
+    desk.nodes(std::move(names), newcomer(now));
     look_seat(now, out);
     tell_loads(now, letters);
     std::set<std::string> senders = passages(false);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -124,6 +124,7 @@
   bool seated() const;
   void ask_newer(Micros now, std::vector<Letter>& letters);
   void look_hold();
+  bool newcomer(Micros now) const;
   bool struck_self() const;
   void ask_seat(Micros now, NodeOut& out);
   void look_seat(Micros now, NodeOut& out);
@@ -167,6 +168,7 @@
   Micros list_said_at = -1;  // when the list's own address last refused, or answered oddly
   bool seat_busy = false;
   bool seat_had = false;
+  bool seat_known = false;  // a former life had one: nobody's share changes with this one
   Micros behind_since = -1;
   Micros seat_next = 0;
   Micros seat_at = -1;
--- a/src/core/seats.cc
+++ b/src/core/seats.cc
@@ -7,6 +7,7 @@
 
 namespace {
 constexpr Micros seat_gap = millis(150);
+constexpr Micros newcomer_span = seconds(2);
 constexpr Micros behind_gap = millis(300);
 constexpr Micros alone_after = millis(1700);
 constexpr Micros catch_up = millis(1500);
@@ -44,6 +45,7 @@
     mesh.roll.self.incarnation = own->incarnation + 1;
     mesh.retell(out.mesh);
   }
+  if (own != nullptr && own->incarnation != mesh.roll.self.incarnation) seat_known = true;
   if (seated()) {
     if (seat_at < 0) tell(Event::seat_taken, std::to_string(mesh.roll.self.incarnation));
     if (seat_at < 0) seat_at = now;
@@ -54,6 +56,7 @@
   } else if (seat_had) {
     // It was struck, though it lives: it places nothing until it has a seat again, and then begins as a newcomer.
     seat_had = false;
+    seat_known = false;
     seat_at = -1;
     look_hold();
   }
@@ -77,6 +80,11 @@
   }
 }
 
+// §5.9: for a while others still divide the bounds of cold workers among fewer.
+bool Node::newcomer(Micros now) const {
+  return plan.role == Role::passage && !seat_known && seat_at >= 0 && now - seat_at < newcomer_span;
+}
+
 void Node::look_hold() {
   if (plan.role != Role::passage) return;
   bool const lost = guard(Guard::seats) && able && seat_at < 0 && learner.value && struck_self();
