--- a/proof/scene/main.cc
+++ b/proof/scene/main.cc
@@ -527,6 +527,7 @@
       start(actors[a]);
     }
     if (verb == "rollall") roll_all();
+    if (verb == "crowd" || verb == "hot") crowd(verb == "hot", a);
     if (verb == "points")
       for (PointPlan const& item : point_plans) one_point(item);
     if (verb == "large") {
@@ -664,6 +665,32 @@
     std::ofstream(to) << out;
   }
 
+  // More callers for two seconds, who judge their own answers; with 'hot' nine of ten ask for one opening.
+  void crowd(bool hot, std::string const& rate) {
+    std::string const name = "crowd" + std::to_string(++crowds);
+    Actor& actor = actors[name];
+    actor.name = name;
+    actor.args = {"chorus",
+                  "--shape",
+                  shape.name,
+                  "--entries",
+                  plan.folder + "/doors",
+                  "--books",
+                  plan.folder + "/books",
+                  "--out",
+                  plan.folder + "/" + name + ".json",
+                  "--rate",
+                  rate,
+                  "--seconds",
+                  "2",
+                  "--hot",
+                  hot ? "0.9" : "0",
+                  "--seed",
+                  std::to_string(plan.seed * 1000 + static_cast<std::uint64_t>(crowds))};
+    wanted[name] = 0;
+    start(actor);
+  }
+
   // Every node in turn is stopped as planned and started again, with callers on kept-alive wires besides.
   void roll_all() {
     kept_timer = g_timeout_add(
@@ -1088,7 +1115,7 @@
       fault("N10", std::to_string(again) + " re-sends for " + std::to_string(first) + " sends");
     for (std::pair<std::string const, int> const& item : wanted)
       if (actors[item.first].pid != 0 || actors[item.first].code != item.second)
-        fault("ordeal", item.first + " ended with " + std::to_string(actors[item.first].code) + " for " +
+        fault("helper", item.first + " ended with " + std::to_string(actors[item.first].code) + " for " +
                             std::to_string(item.second));
     bool const full = lost_back > 0;
     if (full && (first_back < 0 || first_back - lost_back > seconds(12))) fault("N12", "service was not back in time");
@@ -1180,6 +1207,7 @@
   int turn = 1;
   int races = 0;
   int drills = 0;
+  int crowds = 0;
   std::map<std::string, int> wanted;  // exit codes that drills must have
   int probes = 0;
   bool ran_out = false;
--- a/proof/scene/steps.cc
+++ b/proof/scene/steps.cc
@@ -38,6 +38,8 @@
     {"large", "3 large 2040; 6 large 2047; 9 slow k1 300; 10 large 2040; 14 apply", 18,
      "N7 N8 with the largest descriptions, and a slow disk"},
     {"points", "2 points", 28, "every numbered fault point, each in turn"},
+    {"crowd", "3 crowd 400; 6 hot 400; 9 renew w1; 9.5 crowd 400", 22,
+     "N10 N11 and the gate, with crowds and one key that takes most of the load"},
     {"exchange", "4 exchange p1; 8 exchange p2; 12 exchange p3; 16 exchange p4", 24,
      "entry machines exchanged for others"},
     {"loss", "6 lossall; 8 backall", 26, "N9 N12: full loss and return"},
--- a/proof/scene/steps.h
+++ b/proof/scene/steps.h
@@ -30,6 +30,8 @@
   STEP(apply, "", "apply a new description")                                 \
   STEP(large, "#", "apply a description of that many KiB")                   \
   STEP(points, "", "arm every numbered fault point in turn")                 \
+  STEP(crowd, "#", "that many more requests a second, for two seconds")      \
+  STEP(hot, "#", "the same, nine of ten for one opening")                    \
   STEP(race, "", "apply two rival descriptions at once")                     \
   STEP(storm, "#", "apply that many descriptions, one upon another")         \
   STEP(leave, "w", "mark a worker as leaving in the list")                   \
--- a/tests/tables.cc
+++ b/tests/tables.cc
@@ -57,8 +57,9 @@
        {"1 explode p1", "1 kill p99", "soon kill p1", "1 kill", "1 blank p1", "1 storm many", "1 empty q"})
     EXPECT_FALSE(read_steps(bad, cast)) << bad;
   EXPECT_EQ(schedule_of("nonsense"), nullptr);
-  for (char const* const name : {"calm", "change", "crash", "freeze", "cut", "keepers", "release", "leave", "stop",
-                                 "exchange", "loss", "disk", "storm", "closing"}) {
+  for (char const* const name :
+       {"calm", "change", "crash", "freeze", "cut", "keepers", "release", "leave", "stop", "exchange", "loss", "disk",
+        "storm", "closing", "rolling", "large", "points", "crowd", "drill"}) {
     ASSERT_NE(schedule_of(name), nullptr) << name;
     for (char const* const shape : {"coop", "utility"})
       EXPECT_TRUE(read_steps(schedule_of(name)->steps, cast_of(*shape_of(shape)))) << name;
