Placement by price: late answers, parts read again, borders; long prompts told at once

Cause: a part of 4,870 tokens read again costs more than the answer earns, and it happened on a third of the tributes: the cost weighed it as 75 ms only. Loads told each 200 ms could not show prompts that are read in 100.

--- a/src/core/node.h
+++ b/src/core/node.h
@@ -143,6 +143,7 @@
   std::size_t keepers_wanted() const;
   void tick_registered(Micros now, std::vector<Letter>& letters, NodeOut& out);
   void put_entry(wire::EntryT entry, Micros now, NodeOut& out);
+  void hint(Micros now, NodeOut& out);
   void share_doubts(Micros now, NodeOut& out);
   bool half_has(std::uint64_t turn) const;
   bool seated() const;
--- a/src/core/registered.cc
+++ b/src/core/registered.cc
@@ -7,6 +7,7 @@
 
 namespace {
 constexpr Micros load_gap = millis(200);
+constexpr Micros hint_least = millis(40);
 constexpr Micros load_most = millis(700);  // after which loads are told though nothing changed
 }  // namespace
 
@@ -30,6 +31,16 @@
 void Node::request(std::uint64_t id, Query query, Micros now, NodeOut& out) {
   watch_clock(now);
   dispatcher.fresh(id, std::move(query), now, out.dispatch);
+  hint(now, out);
+}
+
+// §12.5: a long prompt keeps a worker busy for longer than the next telling of loads is away. Peers hear of it at once.
+void Node::hint(Micros now, NodeOut& out) {
+  bool due = false;
+  for (std::pair<std::string const, Instance> const& item : registry.all) due = due || item.second.untold >= hint_least;
+  if (!due) return;
+  wire::LoadsT const work = registry.own_loads(true);
+  for (std::string const& name : tide_peers()) mesh.post(name, wire::LoadsT(work), out.mesh);
 }
 
 void Node::attempt_ended(std::uint64_t id, AttemptEnd end, bool elsewhere, Micros now, NodeOut& out) {
@@ -68,11 +79,14 @@
   take_fresh(now);
   if (now >= next_loads) {
     next_loads = now + load_gap;
-    wire::LoadsT loads = registry.own_loads();
+    wire::LoadsT const loads = registry.own_loads(false);
     std::string print;
-    for (std::unique_ptr<wire::LoadT> const& item : loads.list)
-      print += item->worker + " " + std::to_string(item->legs) + " " + std::to_string(item->reading) + " ";
-    if (print != loads_last || (now - loads_told > load_most && !print.empty())) {
+    bool work = false;
+    for (std::unique_ptr<wire::LoadT> const& item : loads.list) {
+      print += item->worker + " " + std::to_string(item->legs) + " ";
+      work = work || item->reading > 0;
+    }
+    if (work || print != loads_last || (now - loads_told > load_most && !print.empty())) {
       loads_last = print;
       loads_told = now;
       for (std::string const& name : tide_peers()) letters.push_back(letter(name, wire::LoadsT(loads)));
@@ -82,6 +96,7 @@
   dispatcher.nodes(passages(true).size());
   look_ready(now, out);
   dispatcher.tick(now, out.dispatch);
+  hint(now, out);
   share_doubts(now, out);
 }
 
--- a/src/flow/dispatch/dispatcher.cc
+++ b/src/flow/dispatch/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "flow/dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 
 #include "ground/events.h"
@@ -17,9 +18,12 @@
 // take their place; these begin.
 constexpr Micros first_least = millis(45);
 constexpr double token_cost = 15.5;
-constexpr Micros far_cost = millis(2);
-constexpr Micros full_cost = millis(800);
-constexpr Micros shun_cost = seconds(3);
+constexpr double pair_cost = 0.000242;
+constexpr double late_blur = 30000;  // how sharp a prediction is, in microseconds
+// Prices, in parts of what a late answer loses, for a token.
+constexpr double again_price = 0.0005;
+constexpr double far_price = 0.0000025;
+constexpr double new_part_worth = 0.00008;
 constexpr Micros quiet_least = millis(400);  // nothing from a worker for so long while several wait: it is dark
 
 bool digit_of(char c, std::uint64_t& out) {
@@ -136,6 +140,14 @@
   place(request, now, out);
 }
 
+// How long a worker takes to read a prompt of which it keeps a part: each token once, and each against all before it.
+Micros Dispatcher::read_time(std::int64_t missing, std::int64_t kept) {
+  double const n = static_cast<double>(missing);
+  return static_cast<Micros>(n * token_cost + n * (static_cast<double>(kept) + n / 2) * pair_cost);
+}
+
+// §12.5: every worker has a price, in parts of what a late answer loses: how likely it makes the answer late, what it
+// reads again though another keeps it, what crosses a border. The cheapest is taken.
 void Dispatcher::place(Request& request, Micros now, DispatchOut& out) {
   if (held) return;
   Parts const& parts = request.query.parts;
@@ -143,67 +155,88 @@
   std::int64_t sum = 0;
   for (std::uint32_t const n : parts.tokens) sum += n;
   std::int64_t const prompt = std::max(sum, request.query.tokens_in);
-  // All parts but the last are shared. Where nobody is known to keep them, all nodes send to the same worker with no
-  // talk between them: the first in rendezvous order (§12.5).
-  std::size_t const shared = parts.path.empty() ? 0 : parts.path.size() - 1;
-  std::uint64_t const key = shared == 0 ? 0 : parts.path[shared - 1];
-  Instance* home = nullptr;
-  std::uint64_t home_rank = 0;
-  Instance* best = nullptr;
-  std::int64_t best_missing = 0;
-  Micros best_cost = 0;
-  Micros best_guess = 0;
-  if (shared > 0)
-    for (std::pair<std::string const, Instance>& item : registry.all) {
-      Instance& at = item.second;
-      if (at.pool != request.pool->name || !at.takes() || at.shunned > now) continue;
-      std::uint64_t const rank = mix(at.id, key);
-      if (home != nullptr && rank <= home_rank) continue;
-      home = &at;
-      home_rank = rank;
-    }
-  std::int64_t const size = prompt + request.query.tokens_out;
+  std::size_t const shared = parts.path.empty() ? 0 : parts.path.size() - 1;  // the last part is the request's own
+  struct Choice {
+    Instance* at;
+    std::size_t depth;
+  };
+  std::vector<Choice> field;
+  std::size_t deepest = 0;
   for (std::pair<std::string const, Instance>& item : registry.all) {
     Instance& at = item.second;
     if (at.pool != request.pool->name || !at.takes() || request.tried.count(item.first)) continue;
     std::map<std::string, std::size_t>::const_iterator const hit = hits.find(item.first);
-    std::size_t depth = hit == hits.end() ? 0 : hit->second;
-    bool const homely = &at == home && depth < shared;
-    if (homely) depth = shared;
+    std::size_t const depth = hit == hits.end() ? 0 : std::min(hit->second, parts.tokens.size());
+    field.push_back({&at, depth});
+    if (at.shunned <= now) deepest = std::max(deepest, std::min(depth, shared));
+  }
+  // What nobody keeps yet goes to the same worker from all nodes, with no talk between them: the first in rendezvous
+  // order by the first part that is new.
+  std::string home;
+  std::uint64_t home_rank = 0;
+  double home_worth = 0;
+  if (deepest < shared) {
+    home_worth = new_part_worth * static_cast<double>(parts.tokens[deepest]);
+    for (Choice const& item : field) {
+      if (item.at->shunned > now) continue;
+      std::uint64_t const rank = mix(item.at->id, parts.path[deepest]);
+      if (!home.empty() && rank <= home_rank) continue;
+      home = item.at->id;
+      home_rank = rank;
+    }
+  }
+  Instance* best = nullptr;
+  double best_price = 0;
+  Micros best_guess = 0;
+  std::int64_t best_kept = 0;
+  double const aim = static_cast<double>(std::max<Micros>(millis(1), request.route->aim));
+  std::int64_t const size = prompt + request.query.tokens_out;
+  for (Choice const& item : field) {
+    Instance& at = *item.at;
     std::int64_t kept = 0;
-    for (std::size_t i = 0; i < depth && i < parts.tokens.size(); ++i) kept += parts.tokens[i];
-    std::int64_t const missing = std::max<std::int64_t>(0, prompt - kept);
-    Micros const guess = first_least + static_cast<Micros>(token_cost * static_cast<double>(
-                                                               missing + at.reading + at.others_reading));
-    Micros cost = guess + at.load() * 300;
-    if (at.zone != zone) cost += far_cost;
-    if (at.load() >= at.slots) cost += full_cost * (1 + (at.load() - at.slots) / std::max<std::int64_t>(1, at.slots / 8));
-    if (request.pool->cache_tokens > 0 && at.held + at.others_held + size > request.pool->cache_tokens * 9 / 10)
-      cost += full_cost;
-    if (at.shunned > now) cost += shun_cost;
-    if (best != nullptr && cost >= best_cost) continue;
+    std::int64_t again = 0;
+    for (std::size_t i = 0; i < parts.tokens.size(); ++i) {
+      if (i < item.depth) kept += parts.tokens[i];
+      if (i >= item.depth && i < deepest) again += parts.tokens[i];
+    }
+    Micros const reading = read_time(std::max<std::int64_t>(0, prompt - kept), kept);
+    Micros const guess = static_cast<Micros>(at.pace * static_cast<double>(first_least + reading)) + at.busy(now);
+    double const took = static_cast<double>(now - request.came + guess);
+    double const blur = late_blur + 0.12 * static_cast<double>(guess);
+    double price = 1.0 / (1.0 + std::exp(std::clamp((aim - took) / blur, -30.0, 30.0)));
+    price += 0.1 * took / aim;
+    price += again_price * static_cast<double>(again);
+    if (at.zone != zone) price += far_price * static_cast<double>(size);
+    if (at.id == home) price -= home_worth;
+    price += 0.05 * static_cast<double>(at.load()) / static_cast<double>(std::max<std::int64_t>(1, at.slots));
+    if (at.load() >= at.slots) price += 2;
+    if (request.pool->cache_tokens > 0 && at.held + at.others_held + size > request.pool->cache_tokens * 9 / 10) price += 1;
+    if (at.shunned > now) price += 10;
+    if (best != nullptr && price >= best_price) continue;
     best = &at;
-    best_cost = cost;
+    best_price = price;
     best_guess = guess;
-    best_missing = missing;
+    best_kept = kept;
   }
   if (best == nullptr) return;  // it waits: tick() asks again, or gives up in time
-  begin(request, *best, best_missing, best_guess, now, out);
+  begin(request, *best, std::max<std::int64_t>(0, prompt - best_kept), best_kept, best_guess, now, out);
 }
 
-void Dispatcher::begin(Request& request, Instance& instance, std::int64_t missing, Micros guess, Micros now,
-                       DispatchOut& out) {
+void Dispatcher::begin(Request& request, Instance& instance, std::int64_t missing, std::int64_t kept, Micros guess,
+                       Micros now, DispatchOut& out) {
   request.at = instance.id;
   request.reach = request.begun ? Reach::answering : Reach::none;
   request.from = now;
   request.heard = now;
   request.guess = guess;
-  request.missing = missing;
+  Micros const reading = static_cast<Micros>(instance.pace * static_cast<double>(read_time(missing, kept)));
+  request.busy = instance.busy(now);
+  instance.work(reading, now);
+  instance.untold += reading;
   request.read = false;
   request.tried.insert(instance.id);
   ++request.dials;
   ++instance.running;
-  instance.reading += missing;
   instance.held += request.query.tokens_in + request.query.tokens_out;
   instance.last_sent = now;
   if (instance.zone != zone) ++tally.far_sends;
@@ -231,7 +264,6 @@
   Instance* const at = registry.find(request.at);
   if (at != nullptr) {
     --at->running;
-    if (!request.read) at->reading -= request.missing;
     at->held -= request.query.tokens_in + request.query.tokens_out;
   }
   request.at.clear();
@@ -263,7 +295,12 @@
   if (at == nullptr) return;
   if (!request.read) {
     request.read = true;
-    at->reading -= request.missing;
+    // What the worker took, against what was predicted without those before it in the queue.
+    Micros const alone = request.guess - request.busy;
+    if (alone > 0 && request.busy < millis(20)) {
+      double const seen = static_cast<double>(now - request.from) / static_cast<double>(alone);
+      at->pace = std::clamp(at->pace * 0.95 + std::min(seen, 3.0) * 0.05, 0.8, 3.0);
+    }
   }
   registry.well(*at, now);
 }
--- a/src/flow/dispatch/dispatcher.h
+++ b/src/flow/dispatch/dispatcher.h
@@ -115,7 +115,7 @@
     Micros from = 0;      // when it was begun
     Micros heard = 0;     // when its last event came
     Micros guess = 0;     // what its first event was predicted to take
-    std::int64_t missing = 0;
+    Micros busy = 0;      // of which others keep the worker busy
     bool read = false;    // its first event has come: its prompt has been read
     bool begun = false;   // a part of an answer has been passed on, by whichever attempt
   };
@@ -124,7 +124,9 @@
     bool known = false;
   };
   void place(Request& request, Micros now, DispatchOut& out);
-  void begin(Request& request, Instance& instance, std::int64_t missing, Micros guess, Micros now, DispatchOut& out);
+  static Micros read_time(std::int64_t missing, std::int64_t kept);
+  void begin(Request& request, Instance& instance, std::int64_t missing, std::int64_t kept, Micros guess, Micros now,
+             DispatchOut& out);
   void release(Request& request);
   void deny(Request& request, Kind kind, Micros wait, DispatchOut& out);
   void obey(Request& request, Fate fate, Micros now, DispatchOut& out);
--- a/src/flow/registry/registry.cc
+++ b/src/flow/registry/registry.cc
@@ -158,16 +158,18 @@
 }
 
 void Registry::peer_loads(std::string const& peer, wire::LoadsT const& loads, Micros now) {
+  for (std::unique_ptr<wire::LoadT> const& load : loads.list)
+    if (Instance* const item = load->reading > 0 ? find(load->worker) : nullptr) item->work(load->reading, now);
+  if (loads.partial) return;
   Told& item = told[peer];
   item.at = now;
   item.rows.clear();
   for (std::unique_ptr<wire::LoadT> const& load : loads.list)
-    item.rows[load->worker] = Told::Row{load->legs, load->reading, load->held};
+    item.rows[load->worker] = Told::Row{load->legs, load->held};
 }
 
 void Registry::sum_others(Micros now) {
-  for (std::pair<std::string const, Instance>& item : all)
-    item.second.others = item.second.others_reading = item.second.others_held = 0;
+  for (std::pair<std::string const, Instance>& item : all) item.second.others = item.second.others_held = 0;
   for (std::map<std::string, Told>::iterator it = told.begin(); it != told.end();) {
     if (now - it->second.at > told_most) {
       it = told.erase(it);
@@ -177,22 +179,23 @@
       Instance* const item = find(row.first);
       if (item == nullptr) continue;
       item->others += row.second.legs;
-      item->others_reading += row.second.reading;
       item->others_held += row.second.held;
     }
     ++it;
   }
 }
 
-wire::LoadsT Registry::own_loads() const {
+wire::LoadsT Registry::own_loads(bool partial) {
   wire::LoadsT out;
-  for (std::pair<std::string const, Instance> const& item : all) {
-    if (item.second.running == 0) continue;
+  out.partial = partial;
+  for (std::pair<std::string const, Instance>& item : all) {
+    if (partial ? item.second.untold == 0 : item.second.running == 0 && item.second.untold == 0) continue;
     std::unique_ptr<wire::LoadT> load = std::make_unique<wire::LoadT>();
     load->worker = item.first;
     load->legs = static_cast<std::uint32_t>(item.second.running);
-    load->reading = static_cast<std::uint32_t>(std::max<std::int64_t>(0, item.second.reading));
+    load->reading = static_cast<std::uint32_t>(item.second.untold);
     load->held = static_cast<std::uint32_t>(std::max<std::int64_t>(0, item.second.held));
+    item.second.untold = 0;
     out.list.push_back(std::move(load));
   }
   return out;
--- a/src/flow/registry/registry.h
+++ b/src/flow/registry/registry.h
@@ -41,18 +41,23 @@
 
   // This node's attempts there, and what they are held to cost the worker.
   std::int64_t running = 0;
-  std::int64_t reading = 0;  // tokens of prompts that it has still to read
-  std::int64_t held = 0;     // tokens that its running requests take
+  std::int64_t held = 0;  // tokens that its running requests take
   // What peers told of theirs.
   std::int64_t others = 0;
-  std::int64_t others_reading = 0;
   std::int64_t others_held = 0;
+  // Prompts are read one after the other: until when those that all nodes are known to have sent keep it busy, and
+  // what this node has added to that since it last told its peers (§12.5).
+  Micros busy_until = 0;
+  Micros untold = 0;
+  double pace = 1.0;  // how much longer first events have taken there of late than predicted
   // What its own answers told, and when.
   std::int64_t said_running = 0;
   std::int64_t said_waiting = 0;
   Micros said_at = -1;
 
   std::int64_t load() const { return running + others; }
+  Micros busy(Micros now) const { return busy_until > now ? busy_until - now : 0; }
+  void work(Micros span, Micros now) { busy_until = (busy_until > now ? busy_until : now) + span; }
   bool takes() const { return standing == Standing::serving; }
 };
 
@@ -77,7 +82,8 @@
 
   void peer_loads(std::string const& peer, wire::LoadsT const& loads, Micros now);
   void sum_others(Micros now);
-  wire::LoadsT own_loads() const;
+  // Everything, or only the work that no peer was told of yet; what is told counts as told.
+  wire::LoadsT own_loads(bool partial);
   void forget_peer(std::string const& peer) { told.erase(peer); }
 
   Instance* find(std::string const& id);
@@ -88,7 +94,7 @@
   struct Told {
     Micros at = 0;
     struct Row {
-      std::int64_t legs, reading, held;
+      std::int64_t legs, held;
     };
     std::map<std::string, Row> rows;
   };
