The mesh for many nodes: digests on pings, rumours, zone hubs, homes without talk

Cause: at 72 nodes of 0.12 cores every node told every node its loads, deltas, findings and whole tables.

--- a/src/core/changes.cc
+++ b/src/core/changes.cc
@@ -89,7 +89,7 @@
     // §5.5: yes is said once half of the router nodes have it, so that it gets round whatever happens to the rest.
     Waiting wait;
     wait.half = outcome.value.turn;
-    wait.due = now + half_bound;
+    wait.due = now + (plan.registered ? millis(700) : half_bound);
     wait.reply = std::move(reply);
     waiting.emplace(req, std::move(wait));
     settle_waiting(now, out);
@@ -104,7 +104,8 @@
     std::set<std::string> owe;
     for (std::string const& name : item.owe)
       if (owes(item, name)) owe.insert(name);
-    bool const more = item.half > 0 ? !half_has(item.half) : !owe.empty();
+    bool const half = plan.registered ? (item.sure.size() + 1) * 2 >= passages(false).size() : half_has(item.half);
+    bool const more = item.half > 0 ? !half : !owe.empty();
     if (more && now < item.due) {
       ++it;
       continue;
--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -42,7 +42,8 @@
       tide(plan.chance + 1),
       desk(plan.name, plan.zone, tide, fleet),
       registry(plan.name),
-      dispatcher(plan.name, plan.zone, tide, registry),
+      exchange(plan.name),
+      dispatcher(plan.name, plan.zone, tide, registry, exchange),
       granter(now),
       mend("mend", plan.chance ^ plan.incarnation ^ mix(plan.name)),
       born(now),
@@ -165,13 +166,14 @@
       if (!news.value) break;
       if (learner.adopt(*news.value, now)) after_value(now, out);
       proposer.know(learner.ring());
+      if (news.hops > 0) forward(news, out);
       wire::ConfirmT ok;
       ok.req = news.req;
       ok.serial = learner.serial();
       // Router nodes that hold no seat may serve by this node's word alone (§6.7): who asks must hear of them.
-      for (std::string const& name : passages(true))
+      for (std::string const& name : plan.registered ? std::set<std::string>() : passages(true))
         if (!learner.value || seat_of(*learner.value, name) == nullptr) ok.routers.push_back(name);
-      if (news.req != 0) letters.push_back(letter(from, std::move(ok)));
+      if (news.req != 0) letters.push_back(letter(news.origin.empty() ? from : news.origin, std::move(ok)));
       look_ready(now, out);
       break;
     }
@@ -208,16 +210,13 @@
       break;
     case wire::Body::Loads:
       hear(body.AsLoads()->age, now);
-      if (plan.registered)
-        registry.peer_loads(from, *body.AsLoads(), now);
-      else
+      if (plan.registered) {
+        registry.peer_loads(*body.AsLoads(), now);
+        exchange.pass(from, *body.AsLoads());
+      } else
         fleet.peer_legs(from, *body.AsLoads(), now);
       break;
     case wire::Body::Doubt:
-      if (plan.registered) {
-        registry.doubt(body.AsDoubt()->worker, now);
-        break;
-      }
       // Asked at once; a worker that is well is back in a moment.
       if (fleet.doubt(body.AsDoubt()->worker, body.AsDoubt()->incarnation, now))
         check_now(body.AsDoubt()->worker, now, out);
@@ -228,6 +227,7 @@
       if (plan.role == Role::passage)
         tide.take(
             from, body, now, [this](std::string const& model) { return bounds(model); }, tide_peers(), letters);
+      if (plan.registered && body.type == wire::Body::Deltas) exchange.pass(*body.AsDeltas());
       break;
     default:
       break;
@@ -240,6 +240,23 @@
   news.req = req;
   news.value = std::make_unique<wire::ValueT>(value);
   if (!guard(Guard::spread)) return;
+  if (plan.registered && mesh.wide()) {
+    // §12.7: to those that keep, who bring it to the rest of their zones.
+    news.origin = plan.name;
+    news.hops = 1;
+    std::string const far = encode_body(wire::ChosenT(news));
+    std::set<std::string> reached{plan.keeper ? plan.zone : std::string()};
+    for (std::pair<std::string const, Peer> const& item : mesh.roll.peers) {
+      if (item.second.wire == 0 || !item.second.member.keeper) continue;
+      reached.insert(item.second.member.zone);
+      out.mesh.sends.push_back({item.second.wire, far});
+    }
+    for (std::pair<std::string const, Peer> const& item : mesh.roll.peers)
+      if (item.second.wire != 0 && !reached.count(item.second.member.zone))
+        out.mesh.sends.push_back({item.second.wire, far});
+    if (plan.keeper) forward(news, out);
+    return;
+  }
   std::string const bytes = encode_body(std::move(news));
   for (std::pair<std::string const, Peer> const& item : mesh.roll.peers)
     if (item.second.wire != 0) out.mesh.sends.push_back({item.second.wire, bytes});
@@ -267,7 +284,8 @@
   mesh.roll.self.serial = value.serial;
   mesh.roll.self.turn = value.turn;
   look_seat(now, out);
-  mesh.retell(out.mesh);
+  // Among nodes whose workers register, pings tell turns; a bump of the record is not needed for them (§3.6).
+  if (!plan.registered) mesh.retell(out.mesh);
 }
 
 void Node::opened(WireId id, bool outbound, std::string const& address, Micros now, NodeOut& out) {
@@ -437,7 +455,7 @@
   take_fresh(now);
   std::vector<Letter> letters;
   if (now >= next_poll && (guard(Guard::spread) || learner.sure < 0 || plan.role == Role::accord)) {
-    next_poll = now + poll_gap;
+    next_poll = now + poll_span();
     learner.poll(now, keepers(), news_age(now), letters);
     found(now, letters);
   }
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -116,6 +116,7 @@
   Fleet fleet;
   Desk desk;
   Registry registry;
+  Exchange exchange;
   Dispatcher dispatcher;
   std::uint64_t jumps = 0;
 
@@ -143,8 +144,11 @@
   std::size_t keepers_wanted() const;
   void tick_registered(Micros now, std::vector<Letter>& letters, NodeOut& out);
   void put_entry(wire::EntryT entry, Micros now, NodeOut& out);
-  void hint(Micros now, NodeOut& out);
-  void share_doubts(Micros now, NodeOut& out);
+  void exchange_now(Micros now, NodeOut& out);
+  Paths paths() const;
+  std::string hub_of(std::string const& zone) const;
+  void forward(wire::ChosenT const& news, NodeOut& out);
+  Micros poll_span() const;
   bool half_has(std::uint64_t turn) const;
   bool seated() const;
   void ask_newer(Micros now, std::vector<Letter>& letters);
--- a/src/core/registered.cc
+++ b/src/core/registered.cc
@@ -1,4 +1,6 @@
 // A node whose workers register themselves: their words, routed requests, and what nodes tell of both (§12).
+#include <algorithm>
+
 #include "core/node.h"
 #include "ground/events.h"
 #include "ground/guards.h"
@@ -6,9 +8,9 @@
 namespace pipit {
 
 namespace {
-constexpr Micros load_gap = millis(200);
-constexpr Micros hint_least = millis(40);
-constexpr Micros load_most = millis(700);  // after which loads are told though nothing changed
+constexpr Micros poll_gap = millis(500);
+constexpr Micros poll_wide = seconds(1);
+constexpr Micros poll_rare = seconds(3);  // where pings bring news of turns already
 }  // namespace
 
 void Node::put_entry(wire::EntryT entry, Micros now, NodeOut& out) {
@@ -31,42 +33,100 @@
 void Node::request(std::uint64_t id, Query query, Micros now, NodeOut& out) {
   watch_clock(now);
   dispatcher.fresh(id, std::move(query), now, out.dispatch);
-  hint(now, out);
-}
-
-// §12.5: a long prompt keeps a worker busy for longer than the next telling of loads is away. Peers hear of it at once.
-void Node::hint(Micros now, NodeOut& out) {
-  bool due = false;
-  for (std::pair<std::string const, Instance> const& item : registry.all) due = due || item.second.untold >= hint_least;
-  if (!due) return;
-  wire::LoadsT const work = registry.own_loads(true);
-  for (std::string const& name : tide_peers()) mesh.post(name, wire::LoadsT(work), out.mesh);
+  exchange_now(now, out);
 }
 
 void Node::attempt_ended(std::uint64_t id, AttemptEnd end, bool elsewhere, Micros now, NodeOut& out) {
   watch_clock(now);
   dispatcher.ended(id, end, elsewhere, now, out.dispatch);
-  share_doubts(now, out);
 }
 
-void Node::share_doubts(Micros now, NodeOut& out) {
-  for (std::string const& id : out.dispatch.doubts)
-    for (std::string const& name : tide_peers()) {
-      wire::DoubtT word;
-      word.worker = id;
-      word.incarnation = 1;
-      mesh.post(name, std::move(word), out.mesh);
-    }
-  out.dispatch.doubts.clear();
+// §12.7: the node of a zone that passes words on: the first of its keepers that is reached, else the first of all.
+std::string Node::hub_of(std::string const& zone) const {
+  std::string best;
+  bool keeps = false;
+  if (zone == plan.zone) {
+    best = plan.name;
+    keeps = plan.keeper;
+  }
+  for (std::pair<std::string const, Peer> const& item : mesh.roll.peers) {
+    Peer const& peer = item.second;
+    if (peer.wire == 0 || peer.state() != State::alive || peer.member.zone != zone) continue;
+    bool const better = best.empty() || (peer.member.keeper && !keeps) ||
+                        (peer.member.keeper == keeps && item.first < best);
+    if (!better) continue;
+    best = item.first;
+    keeps = peer.member.keeper;
+  }
+  return best;
+}
+
+Paths Node::paths() const {
+  Paths out;
+  out.wide = mesh.wide();
+  std::set<std::string> zones;
+  for (std::pair<std::string const, Peer> const& item : mesh.roll.peers) {
+    Peer const& peer = item.second;
+    if (peer.wire == 0 || peer.state() != State::alive) continue;
+    if (!out.wide)
+      out.all.push_back(item.first);
+    else if (peer.member.zone == plan.zone)
+      out.zone.push_back(item.first);
+    else
+      zones.insert(peer.member.zone);
+  }
+  if (!out.wide) return out;
+  std::string const own = hub_of(plan.zone);
+  out.hub = own == plan.name;
+  if (!out.hub) {
+    out.own_hub = own;
+    return out;
+  }
+  for (std::string const& zone : zones) out.hubs.push_back(hub_of(zone));
+  return out;
+}
+
+void Node::exchange_now(Micros now, NodeOut& out) {
+  if (mesh.wide()) return;  // words of many nodes wait for the tick, so that more of them go together
+  std::vector<Letter> letters;
+  exchange.tick(now, paths(), letters);
+  dispatch(letters, now, out);
+}
+
+// §12.7: a keeper brings a chosen value to its part of its zone's other nodes.
+void Node::forward(wire::ChosenT const& news, NodeOut& out) {
+  if (!plan.keeper) return;
+  std::vector<std::string> hands{plan.name};
+  for (std::pair<std::string const, Peer> const& item : mesh.roll.peers)
+    if (item.second.member.keeper && item.second.member.zone == plan.zone && item.second.wire != 0 &&
+        item.second.state() == State::alive)
+      hands.push_back(item.first);
+  std::sort(hands.begin(), hands.end());
+  wire::ChosenT copy;
+  copy.req = news.req;
+  copy.origin = news.origin;
+  copy.value = std::make_unique<wire::ValueT>(*news.value);
+  std::string const bytes = encode_body(std::move(copy));
+  for (std::pair<std::string const, Peer> const& item : mesh.roll.peers) {
+    Peer const& peer = item.second;
+    if (peer.wire == 0 || peer.member.keeper || item.first == news.origin) continue;
+    if (peer.member.zone == plan.zone && rendezvous(item.first, std::set<std::string>(hands.begin(), hands.end())) == plan.name)
+      out.mesh.sends.push_back({peer.wire, bytes});
+  }
+}
+
+Micros Node::poll_span() const {
+  if (!plan.registered || !mesh.wide()) return poll_gap;
+  if (!able || stale_from >= 0) return poll_gap;
+  return acceptor ? poll_wide : poll_rare;
 }
 
 void Node::tick_registered(Micros now, std::vector<Letter>& letters, NodeOut& out) {
+  mesh.ledger.passes_on = !mesh.wide();
   if (now >= next_round) {
     next_round = now + seconds(1);
-    std::vector<std::pair<std::string, std::vector<std::string>>> peers;
-    for (std::string const& name : tide_peers()) peers.emplace_back(name, std::vector<std::string>());
     tide.round(
-        now, peers, [this](std::string const& model) { return bounds(model); }, letters);
+        now, {}, [this](std::string const& model) { return bounds(model); }, letters);
   }
   tide.tick(now, tide_peers(), letters);
   if (now >= next_reconcile) {
@@ -77,27 +137,10 @@
   }
   for (wire::EntryT& entry : registry.silent(now)) put_entry(std::move(entry), now, out);
   take_fresh(now);
-  if (now >= next_loads) {
-    next_loads = now + load_gap;
-    wire::LoadsT const loads = registry.own_loads(false);
-    std::string print;
-    bool work = false;
-    for (std::unique_ptr<wire::LoadT> const& item : loads.list) {
-      print += item->worker + " " + std::to_string(item->legs) + " ";
-      work = work || item->reading > 0;
-    }
-    if (work || print != loads_last || (now - loads_told > load_most && !print.empty())) {
-      loads_last = print;
-      loads_told = now;
-      for (std::string const& name : tide_peers()) letters.push_back(letter(name, wire::LoadsT(loads)));
-    }
-    registry.sum_others(now);
-  }
-  dispatcher.nodes(passages(true).size());
+  dispatcher.nodes(passages(true).size(), mesh.wide());
   look_ready(now, out);
   dispatcher.tick(now, out.dispatch);
-  hint(now, out);
-  share_doubts(now, out);
+  exchange.tick(now, paths(), letters);
 }
 
 }  // namespace pipit
--- a/src/flow/dispatch/dispatcher.cc
+++ b/src/flow/dispatch/dispatcher.cc
@@ -175,16 +175,28 @@
   std::string home;
   std::uint64_t home_rank = 0;
   double home_worth = 0;
-  if (deepest < shared) {
-    home_worth = new_part_worth * static_cast<double>(parts.tokens[deepest]);
+  // §12.7: among many nodes the largest shared part decides alone, and its home is held to keep it: then nobody needs
+  // to be told what stays at home.
+  std::size_t key = deepest;
+  if (wide && shared > 0)
+    key = static_cast<std::size_t>(
+        std::distance(parts.tokens.begin(),
+                      std::max_element(parts.tokens.begin(), parts.tokens.begin() + static_cast<std::ptrdiff_t>(shared))));
+  if (key < shared) {
+    home_worth = wide ? 0 : new_part_worth * static_cast<double>(parts.tokens[key]);
     for (Choice const& item : field) {
       if (item.at->shunned > now) continue;
-      std::uint64_t const rank = mix(item.at->id, parts.path[deepest]);
+      std::uint64_t const rank = mix(item.at->id, parts.path[key]);
       if (!home.empty() && rank <= home_rank) continue;
       home = item.at->id;
       home_rank = rank;
     }
   }
+  if (wide && !home.empty()) {
+    deepest = shared;
+    for (Choice& item : field)
+      if (item.at->id == home) item.depth = std::max(item.depth, shared);
+  }
   Instance* best = nullptr;
   double best_price = 0;
   Micros best_guess = 0;
@@ -208,9 +220,9 @@
     price += again_price * static_cast<double>(again);
     if (at.zone != zone) price += far_price * static_cast<double>(size);
     if (at.id == home) price -= home_worth;
-    price += 0.05 * static_cast<double>(at.load()) / static_cast<double>(std::max<std::int64_t>(1, at.slots));
-    if (at.load() >= at.slots) price += 2;
-    if (request.pool->cache_tokens > 0 && at.held + at.others_held + size > request.pool->cache_tokens * 9 / 10) price += 1;
+    price += 0.05 * static_cast<double>(at.load(now)) / static_cast<double>(std::max<std::int64_t>(1, at.slots));
+    if (at.load(now) >= at.slots) price += 2;
+    if (request.pool->cache_tokens > 0 && at.held + size > request.pool->cache_tokens * 9 / 10) price += 1;
     if (at.shunned > now) price += 10;
     if (best != nullptr && price >= best_price) continue;
     best = &at;
@@ -219,11 +231,11 @@
     best_kept = kept;
   }
   if (best == nullptr) return;  // it waits: tick() asks again, or gives up in time
-  begin(request, *best, std::max<std::int64_t>(0, prompt - best_kept), best_kept, best_guess, now, out);
+  begin(request, *best, std::max<std::int64_t>(0, prompt - best_kept), best_kept, best_guess, best->id == home, now, out);
 }
 
 void Dispatcher::begin(Request& request, Instance& instance, std::int64_t missing, std::int64_t kept, Micros guess,
-                       Micros now, DispatchOut& out) {
+                       bool at_home, Micros now, DispatchOut& out) {
   request.at = instance.id;
   request.reach = request.begun ? Reach::answering : Reach::none;
   request.from = now;
@@ -232,7 +244,7 @@
   Micros const reading = static_cast<Micros>(instance.pace * static_cast<double>(read_time(missing, kept)));
   request.busy = instance.busy(now);
   instance.work(reading, now);
-  instance.untold += reading;
+  exchange.work(instance.id, reading);
   request.read = false;
   request.tried.insert(instance.id);
   ++request.dials;
@@ -246,9 +258,19 @@
   bounds.blocks = static_cast<std::size_t>(request.pool->cache_tokens > 0 ? request.pool->cache_tokens
                                                                           : request.pool->cache_blocks);
   bounds.age = request.pool->cache_age;
-  if (!parts.path.empty())
-    tide.queue(request.tree,
-               tide.index(request.tree).touch(parts.path, instance.id, 1, bounds, now, parts.tokens));
+  if (!wide && !parts.path.empty())
+    exchange.delta(request.tree,
+                   tide.index(request.tree).touch(parts.path, instance.id, 1, bounds, now, parts.tokens));
+  if (wide && !at_home && parts.path.size() > 1) {
+    // The shared parts alone, whole, so that no peer has to know anything to take them in.
+    Path const path(parts.path.begin(), parts.path.end() - 1);
+    std::vector<std::uint32_t> const tokens(parts.tokens.begin(), parts.tokens.end() - 1);
+    wire::DeltaT word = tide.index(request.tree).touch(path, instance.id, 1, bounds, now, tokens);
+    word.base = 0;
+    word.tail = path;
+    word.weights = tokens;
+    exchange.delta(request.tree, std::move(word));
+  }
   Attempt start;
   start.request = request.id;
   start.instance = instance.id;
@@ -319,7 +341,7 @@
         registry.well(*instance, now);
         // It is full, or it is somebody else who lives there now.
         instance->shunned = now + (elsewhere ? seconds(3) : millis(120));
-        if (elsewhere) out.doubts.push_back(at);
+        if (elsewhere) exchange.doubt(at);
         break;
       case AttemptEnd::whole:
       case AttemptEnd::failed:
@@ -330,7 +352,7 @@
         if (end == AttemptEnd::silent && now - instance->last_byte < quiet_least) break;
         if (registry.doubt(at, now)) {
           tell(Event::worker_doubted, at);
-          out.doubts.push_back(at);
+          exchange.doubt(at);
         }
         break;
     }
@@ -375,6 +397,16 @@
   }
 }
 
+void Dispatcher::said(std::uint64_t id, std::int64_t load, Micros now) {
+  std::map<std::uint64_t, std::unique_ptr<Request>>::iterator const spot = requests.find(id);
+  Instance* const at = spot == requests.end() ? nullptr : registry.find(spot->second->at);
+  if (at == nullptr) return;
+  at->said = load;
+  at->said_at = now;
+  // Only what may change a choice of somebody else is worth a word.
+  if (load * 5 >= at->slots * 2) exchange.load(at->id, load);
+}
+
 void Dispatcher::hung_up(std::uint64_t id, Micros now) {
   std::map<std::uint64_t, std::unique_ptr<Request>>::iterator const spot = requests.find(id);
   if (spot == requests.end()) return;
--- a/src/flow/dispatch/dispatcher.h
+++ b/src/flow/dispatch/dispatcher.h
@@ -9,6 +9,7 @@
 
 #include "canon/creed/creed.h"
 #include "flow/dispatch/fate.h"
+#include "flow/exchange/exchange.h"
 #include "flow/index/tide.h"
 #include "flow/registry/registry.h"
 #include "ground/kinds.h"
@@ -56,9 +57,8 @@
   std::vector<Denial> denials;        // before any part of an answer
   std::vector<std::uint64_t> breaks;  // answers that cannot be completed
   std::vector<std::uint64_t> passes;  // the worker's own failure goes back
-  std::vector<std::string> doubts;    // instances to be doubted by all
   bool empty() const {
-    return starts.empty() && cuts.empty() && denials.empty() && breaks.empty() && passes.empty() && doubts.empty();
+    return starts.empty() && cuts.empty() && denials.empty() && breaks.empty() && passes.empty();
   }
 };
 
@@ -70,15 +70,18 @@
 
 class Dispatcher {
  public:
-  Dispatcher(std::string self_, std::string zone_, Tide& tide_, Registry& registry_)
-      : self(std::move(self_)), zone(std::move(zone_)), tide(tide_), registry(registry_) {}
+  Dispatcher(std::string self_, std::string zone_, Tide& tide_, Registry& registry_, Exchange& exchange_)
+      : self(std::move(self_)), zone(std::move(zone_)), tide(tide_), registry(registry_), exchange(exchange_) {}
 
   void in_force(std::shared_ptr<Creed const> rules_) { rules = std::move(rules_); }
   void hold(bool held_) { held = held_; }
   // The part of all re-sends in a window that this node may take beside what its own requests earn (§12.5).
   void budget(double ratio, double store);
   // Its state is known from now on to the table of members, DOWN ones too.
-  void nodes(std::size_t count) { node_count = std::max<std::size_t>(1, count); }
+  void nodes(std::size_t count, bool wide_) {
+    node_count = std::max<std::size_t>(1, count);
+    wide = wide_;
+  }
 
   void fresh(std::uint64_t id, Query query, Micros now, DispatchOut& out);
   void left(std::uint64_t id, Micros now);                // a byte of the attempt may have left
@@ -86,6 +89,8 @@
   void event(std::uint64_t id, Micros now);               // another
   void ended(std::uint64_t id, AttemptEnd end, bool elsewhere, Micros now, DispatchOut& out);
   void hung_up(std::uint64_t id, Micros now);
+  // The worker of the attempt said how many requests run and wait there.
+  void said(std::uint64_t id, std::int64_t load, Micros now);
   void tick(Micros now, DispatchOut& out);
 
   Route const* route_of(std::uint64_t id) const;
@@ -125,8 +130,8 @@
   };
   void place(Request& request, Micros now, DispatchOut& out);
   static Micros read_time(std::int64_t missing, std::int64_t kept);
-  void begin(Request& request, Instance& instance, std::int64_t missing, std::int64_t kept, Micros guess, Micros now,
-             DispatchOut& out);
+  void begin(Request& request, Instance& instance, std::int64_t missing, std::int64_t kept, Micros guess, bool at_home,
+             Micros now, DispatchOut& out);
   void release(Request& request);
   void deny(Request& request, Kind kind, Micros wait, DispatchOut& out);
   void obey(Request& request, Fate fate, Micros now, DispatchOut& out);
@@ -139,11 +144,13 @@
   std::string const zone;
   Tide& tide;
   Registry& registry;
+  Exchange& exchange;
   std::shared_ptr<Creed const> rules = std::make_shared<Creed>();
   bool held = false;
   double resend_ratio = 0.15;
   double resend_store = 4;
   std::size_t node_count = 1;
+  bool wide = false;  // so many nodes that kept parts are told only where nobody would guess them (§12.7)
   std::uint64_t turn = 0;
   std::map<std::uint64_t, std::unique_ptr<Request>> requests;
   std::map<std::string, Bucket> buckets;
--- a/src/flow/registry/registry.cc
+++ b/src/flow/registry/registry.cc
@@ -6,7 +6,6 @@
 namespace pipit {
 
 namespace {
-constexpr Micros told_most = millis(1500);
 constexpr Micros shun_first = millis(600);
 constexpr Micros shun_most = seconds(5);
 constexpr Micros gone_kept = seconds(60);
@@ -124,7 +123,7 @@
       stand(item, Standing::gone, now);
       out.push_back(entry_of(item));
     }
-    if (item.standing == Standing::gone && item.load() == 0 && now - std::max(item.known, item.heard) > gone_kept &&
+    if (item.standing == Standing::gone && item.running == 0 && now - std::max(item.known, item.heard) > gone_kept &&
         now - item.last_sent > gone_kept)
       it = all.erase(it);
     else
@@ -157,48 +156,17 @@
   instance.shunned = -1;
 }
 
-void Registry::peer_loads(std::string const& peer, wire::LoadsT const& loads, Micros now) {
-  for (std::unique_ptr<wire::LoadT> const& load : loads.list)
-    if (Instance* const item = load->reading > 0 ? find(load->worker) : nullptr) item->work(load->reading, now);
-  if (loads.partial) return;
-  Told& item = told[peer];
-  item.at = now;
-  item.rows.clear();
-  for (std::unique_ptr<wire::LoadT> const& load : loads.list)
-    item.rows[load->worker] = Told::Row{load->legs, load->held};
-}
-
-void Registry::sum_others(Micros now) {
-  for (std::pair<std::string const, Instance>& item : all) item.second.others = item.second.others_held = 0;
-  for (std::map<std::string, Told>::iterator it = told.begin(); it != told.end();) {
-    if (now - it->second.at > told_most) {
-      it = told.erase(it);
-      continue;
+void Registry::peer_loads(wire::LoadsT const& loads, Micros now) {
+  for (std::unique_ptr<wire::LoadT> const& load : loads.list) {
+    Instance* const item = find(load->worker);
+    if (item == nullptr) continue;
+    if (load->reading > 0) item->work(load->reading, now);
+    if (load->legs > 0) {
+      item->said = load->legs;
+      item->said_at = now;
     }
-    for (std::pair<std::string const, Told::Row> const& row : it->second.rows) {
-      Instance* const item = find(row.first);
-      if (item == nullptr) continue;
-      item->others += row.second.legs;
-      item->others_held += row.second.held;
-    }
-    ++it;
-  }
-}
-
-wire::LoadsT Registry::own_loads(bool partial) {
-  wire::LoadsT out;
-  out.partial = partial;
-  for (std::pair<std::string const, Instance>& item : all) {
-    if (partial ? item.second.untold == 0 : item.second.running == 0 && item.second.untold == 0) continue;
-    std::unique_ptr<wire::LoadT> load = std::make_unique<wire::LoadT>();
-    load->worker = item.first;
-    load->legs = static_cast<std::uint32_t>(item.second.running);
-    load->reading = static_cast<std::uint32_t>(item.second.untold);
-    load->held = static_cast<std::uint32_t>(std::max<std::int64_t>(0, item.second.held));
-    item.second.untold = 0;
-    out.list.push_back(std::move(load));
+    if (load->doubt) doubt(load->worker, now);
   }
-  return out;
 }
 
 }  // namespace pipit
--- a/src/flow/registry/registry.h
+++ b/src/flow/registry/registry.h
@@ -42,20 +42,16 @@
   // This node's attempts there, and what they are held to cost the worker.
   std::int64_t running = 0;
   std::int64_t held = 0;  // tokens that its running requests take
-  // What peers told of theirs.
-  std::int64_t others = 0;
-  std::int64_t others_held = 0;
-  // Prompts are read one after the other: until when those that all nodes are known to have sent keep it busy, and
-  // what this node has added to that since it last told its peers (§12.5).
+  // Prompts are read one after the other: until when those that all nodes are known to have sent keep it busy (§12.5).
   Micros busy_until = 0;
-  Micros untold = 0;
   double pace = 1.0;  // how much longer first events have taken there of late than predicted
-  // What its own answers told, and when.
-  std::int64_t said_running = 0;
-  std::int64_t said_waiting = 0;
+  // What its answers told, here or at a peer: requests that run and wait, and when.
+  std::int64_t said = 0;
   Micros said_at = -1;
 
-  std::int64_t load() const { return running + others; }
+  std::int64_t load(Micros now) const {
+    return said_at >= 0 && now - said_at < millis(1500) && said > running ? said : running;
+  }
   Micros busy(Micros now) const { return busy_until > now ? busy_until - now : 0; }
   void work(Micros span, Micros now) { busy_until = (busy_until > now ? busy_until : now) + span; }
   bool takes() const { return standing == Standing::serving; }
@@ -80,30 +76,19 @@
   bool doubt(std::string const& id, Micros now);
   void well(Instance& instance, Micros now);
 
-  void peer_loads(std::string const& peer, wire::LoadsT const& loads, Micros now);
-  void sum_others(Micros now);
-  // Everything, or only the work that no peer was told of yet; what is told counts as told.
-  wire::LoadsT own_loads(bool partial);
-  void forget_peer(std::string const& peer) { told.erase(peer); }
+  // What peers tell of workers: what they gave them to read, what these said of their load, and doubts.
+  void peer_loads(wire::LoadsT const& loads, Micros now);
 
   Instance* find(std::string const& id);
   std::map<std::string, Instance> all;
   std::vector<std::string> ended;  // ids whose kept parts and connections are no more; the core empties it
 
  private:
-  struct Told {
-    Micros at = 0;
-    struct Row {
-      std::int64_t legs, held;
-    };
-    std::map<std::string, Row> rows;
-  };
   wire::EntryT entry_of(Instance const& instance) const;
   void stand(Instance& instance, Standing standing, Micros now);
 
   std::string const self;
   Micros beat_gap = millis(1200);
-  std::map<std::string, Told> told;
 };
 
 }  // namespace pipit
--- a/src/gate/net/link.cc
+++ b/src/gate/net/link.cc
@@ -83,6 +83,7 @@
   }
   tune(fd);
   if (::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0 && errno != EINPROGRESS) {
+    out->told_no = errno == ECONNREFUSED;
     ::close(fd);
     return out;
   }
@@ -150,6 +151,7 @@
     int error = 0;
     socklen_t size = sizeof error;
     getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size);
+    told_no = error == ECONNREFUSED;
     if (error != 0) return end(End::unreached);
     if ((conditions & G_IO_OUT) == 0) return;
     state = State::up;
--- a/src/gate/net/link.h
+++ b/src/gate/net/link.h
@@ -40,6 +40,8 @@
   // Closes once everything written has been taken.
   void finish();
   bool open() const { return fd >= 0; }
+  // Whether somebody said no when it was dialled: no process listens there.
+  bool refused() const { return told_no; }
   bool connected() const { return state == State::up; }
 
  private:
@@ -61,6 +63,7 @@
   unsigned asked = 0;
   bool held = false;
   bool last = false;
+  bool told_no = false;
   std::string out;
   std::size_t gone = 0;
   Ears ears;
--- a/src/gate/relay/relay.cc
+++ b/src/gate/relay/relay.cc
@@ -163,6 +163,12 @@
   if (head.status < 200) return false;
   std::string const whose = head.get(dialect.attempt);
   if (!whose.empty() && whose != caller.attempt) return false;
+  if (std::string const* const load = head.find(dialect.load)) {
+    char* rest = nullptr;
+    std::int64_t const running = std::strtol(load->c_str(), &rest, 10);
+    std::int64_t const waiting = *rest == ',' ? std::strtol(rest + 1, nullptr, 10) : 0;
+    dispatcher.said(id, std::max<std::int64_t>(0, running) + std::max<std::int64_t>(0, waiting), now());
+  }
   bool const not_run = head.find(dialect.not_run) != nullptr;
   caller.elsewhere = head.status == 421;
   caller.declined = not_run || caller.elsewhere || head.status == 429 || (head.status == 400 && whose.empty());
--- a/src/gate/station/station.cc
+++ b/src/gate/station/station.cc
@@ -205,7 +205,7 @@
     static char const* const words[] = {"serving", "leaving", "gone"};
     jot.open().key("id").text(at.id).key("zone").text(at.zone).key("pool").text(at.pool);
     jot.key("standing").text(words[static_cast<std::size_t>(at.standing)]).key("owner").text(at.owner);
-    jot.key("doubted").truth(at.doubted >= 0).key("slots").number(at.slots).key("demand").number(at.load()).shut();
+    jot.key("doubted").truth(at.doubted >= 0).key("slots").number(at.slots).key("demand").number(at.load(now())).shut();
   }
   jot.unlist().key("under_way").number(static_cast<std::int64_t>(node->dispatcher.under_way())).shut();
   return jot.take();
--- a/src/hull/wire/wires.h
+++ b/src/hull/wire/wires.h
@@ -1,13 +1,11 @@
 // The task that owns the mesh's sockets: it listens, dials, and carries whole frames (§3.2).
 #pragma once
-#include <gio/gio.h>
-
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
+#include "gate/net/link.h"
 #include "ground/kinds.h"
 #include "kin/effects.h"
 
@@ -28,26 +26,23 @@
   void dial(std::string const& address);
   void send(WireId id, std::string bytes);
   void shut(WireId id);
-  void stop();
 
  private:
-  struct Wire;
-  struct Dialling;
-  void adopt(GSocketConnection* link, bool outbound, std::string const& address);
-  static gboolean on_incoming(GSocketService*, GSocketConnection* link, GObject*, gpointer self);
-  static void on_dialled(GObject* source, GAsyncResult* result, gpointer data);
-  static void on_read(GObject* source, GAsyncResult* result, gpointer data);
-  static void on_written(GObject* source, GAsyncResult* result, gpointer data);
-  void read_more(Wire& wire);
-  void write_more(Wire& wire);
-  void lost(WireId id);
+  struct Wire {
+    WireId id = 0;
+    std::shared_ptr<Link> link;
+    std::string address;  // that was dialled, until the link is up
+    std::string in;
+  };
+  void adopt(std::shared_ptr<Wire> const& wire, bool outbound);
+  void fed(Wire& wire, std::string_view bytes);
+  void lost(WireId id, Link::End how);
 
   Ears ears;
-  GSocketService* service = nullptr;
+  Door door;
   std::string own_host;
   WireId next = 0;
   std::map<WireId, std::shared_ptr<Wire>> wires;
-  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 }  // namespace pipit
--- a/src/kin/ledger/ledger.cc
+++ b/src/kin/ledger/ledger.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "ground/mix.h"
+
 namespace pipit {
 
 namespace {
@@ -46,7 +48,7 @@
   else
     gone_at.erase(item.key);
   items[item.key] = item;
-  owe(from, item.key, item.stamp);
+  if (passes_on) owe(from, item.key, item.stamp);
   return true;
 }
 
@@ -93,6 +95,13 @@
   debt.flying.erase(fly);
 }
 
+std::uint64_t Ledger::digest() const {
+  std::uint64_t out = 0;
+  for (std::pair<std::string const, wire::EntryT> const& item : items)
+    if (!gone_at.count(item.first)) out ^= mix(item.first, stir(item.second.stamp ^ mix(item.second.owner)));
+  return out;
+}
+
 void Ledger::forget(Micros now, Micros age) {
   for (std::map<std::string, Micros>::iterator it = gone_at.begin(); it != gone_at.end();) {
     if (now - it->second > age) {
--- a/src/kin/ledger/ledger.h
+++ b/src/kin/ledger/ledger.h
@@ -30,6 +30,10 @@
   wire::EntriesT batch(std::string const& peer, bool again);
   void acked(std::string const& peer, std::uint64_t batch);
   void forget(Micros now, Micros age);
+  // One number for all entries: equal where two nodes hold the same (§3.6).
+  std::uint64_t digest() const;
+  // Whether entries of others are passed on to everybody; else their owner's own telling and the digests do (§3.6).
+  bool passes_on = true;
 
   std::map<std::string, wire::EntryT> const& all() const { return items; }
 
--- a/src/kin/mesh.cc
+++ b/src/kin/mesh.cc
@@ -44,6 +44,54 @@
   }
 }
 
+// §3.6: what this node found out about another goes to some peers at once and to the rest on pings. All who find the
+// same at the same time would else tell everybody, each.
+void Mesh::find_member(wire::MemberT const& member, Sends& out) {
+  if (!wide()) return tell_member(member, out);
+  int rounds = 3;
+  for (std::size_t n = roll.peers.size(); n > 0; n >>= 1) rounds += 3;
+  rumoured[member.name] = rounds;
+  std::vector<std::string> hands;
+  for (std::pair<std::string const, Peer> const& item : roll.peers)
+    if (item.second.wire != 0 && item.first != member.name) hands.push_back(item.first);
+  for (std::size_t n = 0; n < plan.told && !hands.empty(); ++n) {
+    std::size_t const pick = dice.below(hands.size());
+    wire::NewsT news;
+    news.table.push_back(std::make_unique<wire::MemberT>(member));
+    post(hands[pick], std::move(news), out);
+    hands[pick] = hands.back();
+    hands.pop_back();
+  }
+}
+
+// What goes along with a ping or its answer.
+std::vector<std::unique_ptr<wire::MemberT>> Mesh::rumours() {
+  std::vector<std::unique_ptr<wire::MemberT>> out;
+  for (std::map<std::string, int>::iterator it = rumoured.begin(); it != rumoured.end() && out.size() < 12;) {
+    std::map<std::string, Peer>::const_iterator const peer = roll.peers.find(it->first);
+    if (peer != roll.peers.end()) out.push_back(std::make_unique<wire::MemberT>(peer->second.member));
+    it = peer == roll.peers.end() || --it->second <= 0 ? rumoured.erase(it) : std::next(it);
+  }
+  return out;
+}
+
+// What a peer says of itself on frames that pass anyway.
+void Mesh::heard(std::string const& name, std::uint64_t turn, std::uint64_t serial, bool ready) {
+  std::map<std::string, Peer>::iterator const who = roll.peers.find(name);
+  if (who == roll.peers.end()) return;
+  who->second.member.turn = std::max(who->second.member.turn, turn);
+  who->second.member.serial = std::max(who->second.member.serial, serial);
+  who->second.member.ready = ready;
+}
+
+// Every pair's silence looked into by turns, not all pairs each second.
+Micros Mesh::quiet_span() const {
+  return wide() ? std::max(plan.quiet, static_cast<Micros>(roll.peers.size()) * millis(200)) : plan.quiet;
+}
+Micros Mesh::knock_span() const {
+  return wide() ? std::max(plan.knock_most, static_cast<Micros>(roll.peers.size()) * millis(50)) : plan.knock_most;
+}
+
 bool Mesh::gone(std::string const& name) const {
   std::map<std::string, Peer>::const_iterator const spot = roll.peers.find(name);
   if (spot == roll.peers.end()) return false;
@@ -78,6 +126,8 @@
       if (item.second.member.address == address) item.second.dialling = false;
   }
   wire::HelloT hello;
+  hello.digest = roll.digest();
+  hello.ledger = ledger.digest();
   hello.cluster = plan.cluster;
   hello.self = std::make_unique<wire::MemberT>(roll.self);
   out.sends.push_back({id, encode_body(std::move(hello))});
@@ -140,7 +190,7 @@
   if (peer.dialling || peer.wire != 0 || now < peer.next_dial) return;
   for (Seed const& seed : seeds)
     if (seed.dialling && seed.address == peer.member.address) return;
-  peer.pause = std::clamp(peer.pause * 2, plan.knock, plan.knock_most);
+  peer.pause = std::clamp(peer.pause * 2, plan.knock, std::max(plan.knock, knock_span()));
   peer.next_dial = now + peer.pause;
   // An entry machine was exchanged: another name answers at this address, so this one is no more (§3.3).
   for (std::pair<std::string const, Peer> const& item : roll.peers)
@@ -188,7 +238,12 @@
   }
   wire::PingT ping;
   ping.seq = seq;
-  ping.table = roll.table();
+  ping.table = wide() ? rumours() : roll.table();
+  ping.digest = roll.digest();
+  ping.ledger = ledger.digest();
+  ping.turn = roll.self.turn;
+  ping.serial = roll.self.serial;
+  ping.ready = roll.self.ready;
   post(peer.member.name, std::move(ping), out);
 }
 
@@ -212,7 +267,7 @@
   } else {
     return;
   }
-  tell_member(peer.member, out);
+  find_member(peer.member, out);
 }
 
 void Mesh::tick(Micros now, Sends& out) {
@@ -255,9 +310,10 @@
   for (std::map<std::uint64_t, Relay>::iterator it = relays.begin(); it != relays.end();)
     it = now >= it->second.due ? relays.erase(it) : std::next(it);
 
+  Micros const quiet = quiet_span();
   for (std::pair<std::string const, Peer>& item : roll.peers)
     if (item.second.wire != 0 && item.second.state() == State::alive &&
-        now - wires[item.second.wire].heard > plan.quiet)
+        now - wires[item.second.wire].heard > quiet)
       probe(item.second, now, out);
   if (now >= next_round) {
     next_round = now + plan.round;
@@ -299,7 +355,7 @@
   wires[id].peer = name;
   wires[id].life = hello.self->incarnation;
   roll.unstrike(name);
-  if (roll.merge(*hello.self, now) == Roll::News::fresh) tell_member(*hello.self, out);
+  if (roll.merge(*hello.self, now) == Roll::News::fresh) find_member(*hello.self, out);
   Peer& peer = roll.peers.at(name);
   peer.refuse(false, now);
   if (peer.wire != 0 && peer.wire != id) {
@@ -333,11 +389,13 @@
   // The greeting answers a probe that was waiting for a wire.
   for (std::map<std::uint64_t, Probe>::iterator it = probes.begin(); it != probes.end();)
     it = it->second.peer == name ? probes.erase(it) : std::next(it);
-  ledger.owe_all(name);
+  if (!wide() || hello.ledger != ledger.digest()) ledger.owe_all(name);
   // §3.3: the peer learns what is said of it, and answers with a higher bump if it is wrong.
-  wire::NewsT news;
-  news.table = roll.table();
-  post(name, std::move(news), out);
+  if (!wide() || hello.digest != roll.digest()) {
+    wire::NewsT news;
+    news.table = roll.table();
+    post(name, std::move(news), out);
+  }
   flush_entries(out);
 }
 
@@ -347,6 +405,7 @@
     if (news == Roll::News::refuted) tell_member(roll.self, out);
     // A peer that lives anew cannot have the wire of its former life.
     if (news != Roll::News::fresh) continue;
+    if (wide() && table.size() <= 12) rumoured[item->name] = 6;
     std::map<std::string, Peer>::const_iterator const who = roll.peers.find(item->name);
     if (who != roll.peers.end() && who->second.wire != 0 && wires[who->second.wire].life < item->incarnation)
       drop(who->second.wire, now, out);
@@ -372,15 +431,39 @@
     case wire::Body::Ping: {
       wire::PingT const& ping = *frame.body.AsPing();
       take_table(ping.table, now, out);
+      heard(name, ping.turn, ping.serial, ping.ready);
       wire::PongT pong;
       pong.seq = ping.seq;
-      pong.table = roll.table();
+      pong.digest = roll.digest();
+      pong.ledger = ledger.digest();
+      pong.turn = roll.self.turn;
+      pong.serial = roll.self.serial;
+      pong.ready = roll.self.ready;
+      // §3.6: whoever knows something else is told everything, and answers with what it knows besides.
+      pong.whole = !wide() || ping.digest != pong.digest;
+      pong.table = pong.whole ? roll.table() : rumours();
+      if (wide() && ping.ledger != pong.ledger) {
+        ledger.owe_all(name);
+        wire::EntriesT batch = ledger.batch(name, false);
+        if (!batch.list.empty()) post(name, std::move(batch), out);
+      }
       out.sends.push_back({id, encode_body(std::move(pong))});
       return "";
     }
     case wire::Body::Pong: {
       wire::PongT const& pong = *frame.body.AsPong();
       take_table(pong.table, now, out);
+      heard(name, pong.turn, pong.serial, pong.ready);
+      if (wide() && pong.whole && pong.digest != roll.digest()) {
+        wire::NewsT news;
+        news.table = roll.table();
+        post(name, std::move(news), out);
+      }
+      if (wide() && pong.ledger != ledger.digest()) {
+        ledger.owe_all(name);
+        wire::EntriesT batch = ledger.batch(name, false);
+        if (!batch.list.empty()) post(name, std::move(batch), out);
+      }
       probe_done(pong.seq, now);
       std::map<std::uint64_t, Relay>::iterator const relay = relays.find(pong.seq);
       if (relay != relays.end()) {
@@ -398,7 +481,12 @@
       std::uint64_t const seq = ++next_seq;
       wire::PingT ping;
       ping.seq = seq;
-      ping.table = roll.table();
+      ping.table = wide() ? rumours() : roll.table();
+      ping.digest = roll.digest();
+      ping.ledger = ledger.digest();
+      ping.turn = roll.self.turn;
+      ping.serial = roll.self.serial;
+      ping.ready = roll.self.ready;
       if (post(req.target, std::move(ping), out)) relays[seq] = Relay{id, req.seq, now + plan.probe};
       return "";
     }
--- a/src/kin/mesh.h
+++ b/src/kin/mesh.h
@@ -20,6 +20,8 @@
   Micros quiet = millis(900);      // a wire silent for longer is asked after, whoever's turn it is
   Micros knock = millis(250);      // first pause between dials
   Micros knock_most = seconds(1);  // the low, capped rate for DOWN peers and seeds
+  std::size_t told = 8;  // peers that are told of a finding at once; the others hear of it on pings (§3.6)
+  std::size_t wide = 24;  // beyond so many members nothing is told to everybody but what this node says of itself
   Micros idle = seconds(60);
   Micros forget = seconds(1800);
 };
@@ -53,6 +55,9 @@
   // Other seeds than those that it began with; those that are known already are kept as they are.
   void reseed(std::vector<std::string> const& addresses);
 
+  // More members than can all be told everything by everybody (§3.6).
+  bool wide() const { return roll.peers.size() >= plan.wide; }
+
   // Whether a member cannot be serving: it left, or its address refuses a dial (§5.5).
   bool gone(std::string const& name) const;
   // Since when fewer than half of all members that may live were heard: at that moment half of them, this node with
@@ -100,6 +105,11 @@
   void probe_failed(std::string const& name, Micros now, Sends& out);
   void probe_done(std::uint64_t seq, Micros now);
   void tell_member(wire::MemberT const& member, Sends& out);
+  void find_member(wire::MemberT const& member, Sends& out);
+  std::vector<std::unique_ptr<wire::MemberT>> rumours();
+  void heard(std::string const& name, std::uint64_t turn, std::uint64_t serial, bool ready);
+  Micros quiet_span() const;
+  Micros knock_span() const;
   void dials(Micros now, Sends& out);
   void dial(Peer& peer, Micros now, Sends& out);
   void unbind(WireId id, Micros now);
@@ -113,6 +123,7 @@
   std::map<std::uint64_t, Probe> probes;
   std::map<std::uint64_t, Relay> relays;
   std::vector<Seed> seeds;
+  std::map<std::string, int> rumoured;  // members of whom something is new, with how often it is still told
 };
 
 }  // namespace pipit
--- a/src/kin/roll/roll.cc
+++ b/src/kin/roll/roll.cc
@@ -3,6 +3,7 @@
 #include <tuple>
 
 #include "ground/events.h"
+#include "ground/mix.h"
 
 namespace pipit {
 
@@ -15,6 +16,9 @@
 std::tuple<std::uint64_t, std::uint64_t, std::uint8_t> rank(wire::MemberT const& m) {
   return {m.incarnation, m.bump, m.state};
 }
+std::uint64_t print_of(wire::MemberT const& m) {
+  return mix(m.name, stir(m.incarnation ^ stir((m.bump << 2) + m.state)));
+}
 void announce(std::string const& name, State state) {
   switch (state) {
     case State::alive:
@@ -124,6 +128,13 @@
   return out;
 }
 
+std::uint64_t Roll::digest() const {
+  std::uint64_t out = 0;
+  out ^= print_of(self);
+  for (std::pair<std::string const, Peer> const& item : peers) out ^= print_of(item.second.member);
+  return out;
+}
+
 void Roll::forget(Micros now, Micros age) {
   for (std::map<std::string, Peer>::iterator it = peers.begin(); it != peers.end();) {
     Peer const& peer = it->second;
--- a/src/kin/roll/roll.h
+++ b/src/kin/roll/roll.h
@@ -41,6 +41,8 @@
   // This node's own finding about a peer.
   void mark(Peer& peer, State state, Micros now);
   std::vector<std::unique_ptr<wire::MemberT>> table() const;
+  // One number for all that is known of members: equal where two nodes know the same (§3.6).
+  std::uint64_t digest() const;
   void forget(Micros now, Micros age);
   // What the register says of router nodes: their seats, and those that were struck (§5.9).
   void seat(wire::SeatT const& item, Micros now);
