--- a/src/kin/mesh.cc
+++ b/src/kin/mesh.cc
@@ -75,6 +75,29 @@
   return out;
 }
 
+namespace {
+constexpr Micros repair_calm = seconds(1);  // without a change here, before everything is compared
+constexpr Micros repair_gap = seconds(3);
+}  // namespace
+
+bool Mesh::Repair::due(std::uint64_t own, std::uint64_t theirs, Micros now) {
+  if (own != digest) {
+    digest = own;
+    changed = now;
+  }
+  if (own == theirs || now - last < repair_calm) return false;
+  if (now - changed < repair_calm && now - last < repair_gap) return false;
+  last = now;
+  return true;
+}
+
+void Mesh::mend_ledger(std::string const& name, std::uint64_t theirs, Micros now, Sends& out) {
+  if (!wide() || !ledger_repair.due(ledger.digest(), theirs, now)) return;
+  ledger.owe_all(name);
+  wire::EntriesT batch = ledger.batch(name, false);
+  if (!batch.list.empty()) post(name, std::move(batch), out);
+}
+
 // What a peer says of itself on frames that pass anyway.
 void Mesh::heard(std::string const& name, std::uint64_t turn, std::uint64_t serial, bool ready) {
   std::map<std::string, Peer>::iterator const who = roll.peers.find(name);
@@ -324,7 +347,8 @@
       if (state == State::suspected) probe(item.second, now, out);
     }
     if (!field.empty()) probe(*field[dice.below(field.size())], now, out);
-    flush_entries(out, true);
+    // What was not acked within a round goes again; where many are told, after three.
+    if (!wide() || ++rounds % 3 == 0) flush_entries(out, true);
     roll.forget(now, plan.forget);
     ledger.forget(now, plan.forget);
     std::vector<WireId> stale;
@@ -440,13 +464,9 @@
       pong.serial = roll.self.serial;
       pong.ready = roll.self.ready;
       // §3.6: whoever knows something else is told everything, and answers with what it knows besides.
-      pong.whole = !wide() || ping.digest != pong.digest;
+      pong.whole = !wide() || table_repair.due(pong.digest, ping.digest, now);
       pong.table = pong.whole ? roll.table() : rumours();
-      if (wide() && ping.ledger != pong.ledger) {
-        ledger.owe_all(name);
-        wire::EntriesT batch = ledger.batch(name, false);
-        if (!batch.list.empty()) post(name, std::move(batch), out);
-      }
+      mend_ledger(name, ping.ledger, now, out);
       out.sends.push_back({id, encode_body(std::move(pong))});
       return "";
     }
@@ -459,11 +479,7 @@
         news.table = roll.table();
         post(name, std::move(news), out);
       }
-      if (wide() && pong.ledger != ledger.digest()) {
-        ledger.owe_all(name);
-        wire::EntriesT batch = ledger.batch(name, false);
-        if (!batch.list.empty()) post(name, std::move(batch), out);
-      }
+      mend_ledger(name, pong.ledger, now, out);
       probe_done(pong.seq, now);
       std::map<std::uint64_t, Relay>::iterator const relay = relays.find(pong.seq);
       if (relay != relays.end()) {
--- a/src/kin/mesh.h
+++ b/src/kin/mesh.h
@@ -118,11 +118,22 @@
   MeshPlan const plan;
   Dice dice;
   Micros next_round = 0;
+  std::uint64_t rounds = 0;
   std::uint64_t next_seq = 0;
   std::map<WireId, Wire> wires;
   std::map<std::uint64_t, Probe> probes;
   std::map<std::uint64_t, Relay> relays;
   std::vector<Seed> seeds;
+  // A repair that compares everything, by whole tables or ledgers: rare, and not while changes are on their way.
+  struct Repair {
+    std::uint64_t digest = 0;
+    Micros changed = 0;
+    Micros last = -seconds(60);
+    bool due(std::uint64_t own, std::uint64_t theirs, Micros now);
+  };
+  Repair table_repair;
+  Repair ledger_repair;
+  void mend_ledger(std::string const& name, std::uint64_t theirs, Micros now, Sends& out);
   std::map<std::string, int> rumoured;  // members of whom something is new, with how often it is still told
 };
 
