--- /dev/null
+++ b/tests/registry.cc
@@ -0,0 +1,281 @@
+// Workers that register themselves: beats, silence, farewells, doubts, and what peers say of them (§12.3).
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "flow/registry/registry.h"
+
+namespace pipit {
+
+namespace {
+constexpr Micros gap = millis(1000);
+
+Beat beat_of(std::string const& id, std::uint64_t order, bool leaving = false) {
+  Beat out;
+  out.id = id;
+  out.address = "127.0.0.1:9000";
+  out.zone = "a";
+  out.pool = "p";
+  out.slots = 8;
+  out.order = order;
+  out.leaving = leaving;
+  return out;
+}
+
+wire::EntryT entry_of(std::string const& id, std::uint64_t order, Standing standing, std::string const& owner) {
+  wire::EntryT out;
+  out.key = id;
+  out.owner = owner;
+  out.incarnation = order;
+  out.address = "127.0.0.1:9000";
+  out.zone = "a";
+  out.pool = "p";
+  out.slots = 8;
+  out.state = static_cast<std::uint8_t>(standing);
+  return out;
+}
+
+Standing standing_of(Registry& registry, std::string const& id) {
+  Instance const* const item = registry.find(id);
+  return item == nullptr ? Standing::gone : item->standing;
+}
+
+class Workers : public testing::Test {
+ protected:
+  Workers() { registry.span(gap); }
+  Registry registry{"n1"};
+};
+}  // namespace
+
+TEST_F(Workers, a_beat_is_written_down_only_when_it_says_something_new) {
+  std::optional<wire::EntryT> const first = registry.beat(beat_of("w", 1), 0);
+  ASSERT_TRUE(first);
+  EXPECT_EQ(first->key, "w");
+  EXPECT_EQ(first->state, static_cast<std::uint8_t>(Standing::serving));
+  EXPECT_EQ(first->slots, 8u);
+  EXPECT_FALSE(registry.beat(beat_of("w", 2), gap));
+  Beat moved = beat_of("w", 3);
+  moved.address = "127.0.0.1:9001";
+  std::optional<wire::EntryT> const second = registry.beat(moved, 2 * gap);
+  ASSERT_TRUE(second);
+  EXPECT_EQ(second->address, moved.address);
+  Beat wider = moved;
+  wider.order = 4;
+  wider.slots = 9;
+  EXPECT_TRUE(registry.beat(wider, 3 * gap));
+}
+
+TEST_F(Workers, a_late_beat_changes_nothing) {
+  registry.beat(beat_of("w", 5), 0);
+  Beat late = beat_of("w", 4, true);
+  late.address = "127.0.0.1:1";
+  EXPECT_FALSE(registry.beat(late, 10));
+  EXPECT_EQ(registry.find("w")->address, "127.0.0.1:9000");
+  EXPECT_EQ(registry.find("w")->standing, Standing::serving);
+  EXPECT_EQ(registry.find("w")->order, 5u);
+  EXPECT_EQ(registry.find("w")->heard, 0);
+}
+
+TEST_F(Workers, leaving_is_not_taken_back) {
+  registry.beat(beat_of("w", 1), 0);
+  EXPECT_TRUE(registry.beat(beat_of("w", 2, true), 10));
+  EXPECT_EQ(standing_of(registry, "w"), Standing::leaving);
+  EXPECT_FALSE(registry.find("w")->takes());
+  registry.beat(beat_of("w", 3), 20);
+  EXPECT_EQ(standing_of(registry, "w"), Standing::leaving);
+}
+
+TEST_F(Workers, leaving_is_not_taken_back_by_a_peer_that_missed_it) {
+  registry.beat(beat_of("w", 2, true), 0);
+  // The peer took a later beat and had not heard that the worker is leaving.
+  std::optional<wire::EntryT> const said = registry.take_entry(entry_of("w", 3, Standing::serving, "n2"), 10);
+  EXPECT_EQ(standing_of(registry, "w"), Standing::leaving);
+  ASSERT_TRUE(said);
+  EXPECT_EQ(said->state, static_cast<std::uint8_t>(Standing::leaving));
+}
+
+TEST_F(Workers, after_its_farewell_nothing_that_it_said_counts) {
+  registry.beat(beat_of("w", 1), 0);
+  std::optional<wire::EntryT> const bye = registry.leave("w", 2, 10);
+  ASSERT_TRUE(bye);
+  EXPECT_EQ(bye->state, static_cast<std::uint8_t>(Standing::gone));
+  EXPECT_EQ(std::count(registry.ended.begin(), registry.ended.end(), "w"), 1);
+  EXPECT_FALSE(registry.beat(beat_of("w", 3), 20));
+  EXPECT_EQ(standing_of(registry, "w"), Standing::gone);
+  EXPECT_FALSE(registry.leave("nobody", 1, 20));
+  // Nor at a peer that has the farewell, whichever came first there.
+  Registry peer("n2");
+  peer.beat(beat_of("w", 1), 0);
+  EXPECT_FALSE(peer.take_entry(*bye, 30));
+  EXPECT_FALSE(peer.beat(beat_of("w", 3), 40));
+  EXPECT_EQ(standing_of(peer, "w"), Standing::gone);
+}
+
+TEST_F(Workers, a_farewell_is_remembered_for_a_while_wherever_it_was_heard) {
+  // Known here for long, but its beats went to another node.
+  registry.take_entry(entry_of("w", 5, Standing::serving, "n2"), 0);
+  Micros const now = seconds(600);
+  registry.take_entry(entry_of("w", 1000009, Standing::gone, "n2"), now);
+  registry.silent(now + millis(50));
+  EXPECT_FALSE(registry.beat(beat_of("w", 8), now + millis(100)));
+  EXPECT_EQ(standing_of(registry, "w"), Standing::gone);
+  registry.silent(now + seconds(120));
+  EXPECT_EQ(registry.find("w"), nullptr);
+}
+
+TEST_F(Workers, silence_ends_a_worker_and_its_next_beat_brings_it_back) {
+  registry.beat(beat_of("w", 1), 0);
+  EXPECT_TRUE(registry.silent(2 * gap).empty());
+  std::vector<wire::EntryT> const gone = registry.silent(3 * gap + 1);
+  ASSERT_EQ(gone.size(), 1u);
+  EXPECT_EQ(gone[0].key, "w");
+  EXPECT_EQ(gone[0].state, static_cast<std::uint8_t>(Standing::gone));
+  EXPECT_TRUE(registry.silent(4 * gap).empty()) << "it is said once";
+  EXPECT_TRUE(registry.beat(beat_of("w", 2), 5 * gap));
+  EXPECT_EQ(standing_of(registry, "w"), Standing::serving);
+}
+
+TEST_F(Workers, only_the_node_that_took_the_last_word_judges_silence) {
+  registry.beat(beat_of("w", 1), 0);
+  registry.take_entry(entry_of("w", 2, Standing::serving, "n2"), 10);
+  EXPECT_TRUE(registry.silent(seconds(20)).empty());
+  EXPECT_EQ(standing_of(registry, "w"), Standing::serving);
+}
+
+TEST_F(Workers, a_doubted_worker_falls_silent_sooner) {
+  registry.beat(beat_of("w", 1), 0);
+  registry.beat(beat_of("v", 1), 0);
+  EXPECT_TRUE(registry.doubt("w", millis(100)));
+  std::vector<wire::EntryT> const gone = registry.silent(2 * gap);
+  ASSERT_EQ(gone.size(), 1u);
+  EXPECT_EQ(gone[0].key, "w");
+  EXPECT_EQ(standing_of(registry, "v"), Standing::serving);
+}
+
+TEST_F(Workers, a_node_that_stood_still_blames_nobody) {
+  registry.beat(beat_of("w", 1), 0);
+  Micros const now = seconds(30);
+  registry.stood_still(now);
+  EXPECT_TRUE(registry.silent(now).empty());
+  EXPECT_TRUE(registry.silent(now + 2 * gap).empty());
+  EXPECT_EQ(registry.silent(now + 4 * gap).size(), 1u);
+}
+
+TEST_F(Workers, doubts_shun_longer_each_time_and_a_good_word_ends_them) {
+  registry.beat(beat_of("w", 1), 0);
+  Instance& item = *registry.find("w");
+  EXPECT_FALSE(registry.doubt("nobody", 0));
+  Micros now = 0;
+  Micros last = 0;
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_TRUE(registry.doubt("w", now)) << i;
+    EXPECT_FALSE(registry.doubt("w", now + 1)) << "no news while it is shunned";
+    Micros const span = item.shunned - now;
+    EXPECT_GE(span, last);
+    EXPECT_LE(span, seconds(5));
+    last = span;
+    now = item.shunned + 1;
+  }
+  EXPECT_EQ(last, seconds(5));
+  registry.well(item, now);
+  EXPECT_EQ(item.faults, 0);
+  EXPECT_LT(item.doubted, 0);
+  EXPECT_LE(item.shunned, now);
+  EXPECT_TRUE(registry.doubt("w", now));
+  EXPECT_LT(item.shunned - now, last) << "it counts from the beginning again";
+}
+
+TEST_F(Workers, a_beat_after_one_doubt_answers_it) {
+  registry.beat(beat_of("w", 1), 0);
+  registry.doubt("w", 10);
+  registry.beat(beat_of("w", 2), 20);
+  EXPECT_LT(registry.find("w")->doubted, 0);
+  EXPECT_LE(registry.find("w")->shunned, 20);
+}
+
+TEST_F(Workers, a_peer_that_knows_less_is_told_so) {
+  registry.beat(beat_of("w", 7), 0);
+  registry.leave("w", 8, 10);
+  std::optional<wire::EntryT> const said = registry.take_entry(entry_of("w", 7, Standing::serving, "n2"), 20);
+  ASSERT_TRUE(said);
+  EXPECT_EQ(said->state, static_cast<std::uint8_t>(Standing::gone));
+  EXPECT_EQ(standing_of(registry, "w"), Standing::gone);
+  // What it is told settles the matter there too.
+  Registry peer("n2");
+  peer.beat(beat_of("w", 7), 0);
+  EXPECT_FALSE(peer.take_entry(*said, 30));
+  EXPECT_EQ(standing_of(peer, "w"), Standing::gone);
+}
+
+TEST_F(Workers, odd_entries_are_passed_over) {
+  EXPECT_FALSE(registry.take_entry(entry_of("w!n2", 1, Standing::gone, "n2"), 0));
+  wire::EntryT odd = entry_of("w", 1, Standing::serving, "n2");
+  odd.state = 9;
+  EXPECT_FALSE(registry.take_entry(odd, 0));
+  EXPECT_TRUE(registry.all.empty());
+}
+
+TEST_F(Workers, an_entry_of_a_former_life_of_this_node_gives_the_worker_a_span_to_call) {
+  registry.take_entry(entry_of("w", 3, Standing::serving, "n1"), seconds(50));
+  EXPECT_TRUE(registry.silent(seconds(50) + 2 * gap).empty());
+  EXPECT_EQ(registry.silent(seconds(50) + 4 * gap).size(), 1u);
+}
+
+TEST_F(Workers, peers_loads_are_summed_while_they_are_fresh) {
+  registry.beat(beat_of("w", 1), 0);
+  std::int64_t n = 0;
+  for (char const* const peer : {"n2", "n3"}) {
+    ++n;
+    wire::LoadsT loads;
+    for (char const* const id : {"w", "unknown"}) {
+      std::unique_ptr<wire::LoadT> row = std::make_unique<wire::LoadT>();
+      row->worker = id;
+      row->legs = static_cast<std::uint32_t>(2 * n);
+      row->reading = static_cast<std::uint32_t>(100 * n);
+      row->held = static_cast<std::uint32_t>(1000 * n);
+      loads.list.push_back(std::move(row));
+    }
+    registry.peer_loads(peer, loads, n * millis(400));
+  }
+  Instance const& item = *registry.find("w");
+  registry.sum_others(millis(900));
+  EXPECT_EQ(item.others, 6);
+  EXPECT_EQ(item.others_reading, 300);
+  EXPECT_EQ(item.others_held, 3000);
+  registry.peer_loads("n2", wire::LoadsT(), millis(1000));
+  registry.sum_others(millis(1000));
+  EXPECT_EQ(item.others, 4) << "a newer word takes the place of the older one";
+  registry.forget_peer("n3");
+  registry.sum_others(millis(1000));
+  EXPECT_EQ(item.others, 0);
+  EXPECT_EQ(registry.find("unknown"), nullptr);
+}
+
+TEST_F(Workers, old_loads_count_no_more) {
+  registry.beat(beat_of("w", 1), 0);
+  wire::LoadsT loads;
+  loads.list.push_back(std::make_unique<wire::LoadT>());
+  loads.list[0]->worker = "w";
+  loads.list[0]->legs = 5;
+  registry.peer_loads("n2", loads, 0);
+  registry.sum_others(millis(100));
+  EXPECT_EQ(registry.find("w")->others, 5);
+  registry.sum_others(seconds(10));
+  EXPECT_EQ(registry.find("w")->others, 0);
+}
+
+TEST_F(Workers, own_loads_name_only_workers_with_attempts) {
+  registry.beat(beat_of("w", 1), 0);
+  registry.beat(beat_of("v", 1), 0);
+  registry.find("w")->running = 3;
+  registry.find("w")->reading = 70;
+  registry.find("w")->held = 900;
+  wire::LoadsT const loads = registry.own_loads();
+  ASSERT_EQ(loads.list.size(), 1u);
+  EXPECT_EQ(loads.list[0]->worker, "w");
+  EXPECT_EQ(loads.list[0]->legs, 3u);
+  EXPECT_EQ(loads.list[0]->reading, 70u);
+  EXPECT_EQ(loads.list[0]->held, 900u);
+}
+
+}  // namespace pipit
