--- /dev/null
+++ b/tests/dispatcher.cc
@@ -0,0 +1,730 @@
+// The dispatcher alone: routes, waiting, second chances, budgets, deadlines, and seeded walks with a judge (§12.5).
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+
+#include "flow/dispatch/dispatcher.h"
+#include "ground/mix.h"
+
+namespace pipit {
+
+namespace {
+constexpr char hosts[] = "api.test";
+
+std::shared_ptr<Creed const> creed_of(std::string const& routes) {
+  Result<std::shared_ptr<Creed const>> const made =
+      read_creed("{\"format\":1,\"lanes\":[],\"pools\":[{\"name\":\"p\",\"model\":\"m\"},{\"name\":\"q\",\"model\":\"m\"}],"
+                 "\"routes\":[" + routes + "]}");
+  EXPECT_TRUE(made) << made.error().place << " " << made.error().why;
+  return made ? made.value() : std::make_shared<Creed const>();
+}
+
+std::string route_text(std::string const& name, std::string const& more, std::string const& shares = "{\"pool\":\"p\"}") {
+  return "{\"name\":\"" + name + "\",\"host\":\"api.test\",\"prefix\":\"/" + name + "/\",\"shares\":[" + shares +
+         "],\"hold_ms\":3000,\"aim_ms\":1000,\"attempts\":3" + more + "}";
+}
+
+std::shared_ptr<Creed const> usual() {
+  return creed_of(route_text("once", "") + "," + route_text("safe", ",\"repeatable\":true") + "," +
+                  route_text("flow", ",\"streams\":true,\"resumable\":true") + "," +
+                  route_text("live", ",\"streams\":true"));
+}
+
+Query query_of(std::string const& route) {
+  Query out;
+  out.host = hosts;
+  out.path = "/" + route + "/x";
+  out.model = "m";
+  out.tokens_in = 100;
+  out.tokens_out = 50;
+  return out;
+}
+
+Beat beat_of(std::string const& id, std::uint64_t order, std::string const& pool = "p") {
+  Beat out;
+  out.id = id;
+  out.address = "127.0.0.1:9000";
+  out.zone = "a";
+  out.pool = pool;
+  out.slots = 8;
+  out.order = order;
+  return out;
+}
+
+class Desks : public testing::Test {
+ protected:
+  Desks() {
+    dispatcher.in_force(usual());
+    dispatcher.budget(0.2, 10);
+  }
+  void worker(std::string const& id, std::string const& pool = "p") { registry.beat(beat_of(id, ++order, pool), now); }
+  // A request that was placed at once; its worker, or nothing.
+  std::string place(std::uint64_t id, std::string const& route) { return place(id, query_of(route)); }
+  std::string place(std::uint64_t id, Query query) {
+    out = DispatchOut();
+    dispatcher.fresh(id, std::move(query), now, out);
+    return started(id);
+  }
+  std::string started(std::uint64_t id) const {
+    for (Attempt const& item : out.starts)
+      if (item.request == id) return item.instance;
+    return "";
+  }
+  void end(std::uint64_t id, AttemptEnd how) {
+    out = DispatchOut();
+    dispatcher.ended(id, how, false, now, out);
+  }
+  // Ticks until something comes out, or the time is over.
+  void wait(Micros most) {
+    out = DispatchOut();
+    for (Micros const stop = now + most; now < stop && out.empty();) {
+      now += millis(10);
+      dispatcher.tick(now, out);
+    }
+  }
+  bool free_of_work() {
+    for (std::pair<std::string const, Instance> const& item : registry.all)
+      if (item.second.running != 0 || item.second.reading != 0 || item.second.held != 0) return false;
+    return dispatcher.under_way() == 0;
+  }
+
+  Micros now = seconds(100);
+  std::uint64_t order = 0;
+  Tide tide{1};
+  Registry registry{"n1"};
+  Dispatcher dispatcher{"n1", "a", tide, registry};
+  DispatchOut out;
+};
+}  // namespace
+
+TEST(Parts, hold_what_can_be_read) {
+  Parts const two = parse_parts("5c1e07a2:800, 91bd3f06:410");
+  ASSERT_EQ(two.path.size(), 2u);
+  EXPECT_EQ(two.tokens, (std::vector<std::uint32_t>{800, 410}));
+  EXPECT_EQ(parse_parts("5c1e07a2:800,ff:1").path[0], two.path[0]);
+  EXPECT_NE(parse_parts("ff:1,91bd3f06:410").path[1], two.path[1]) << "a part stands for all before it too";
+  EXPECT_TRUE(parse_parts("").path.empty());
+  for (char const* const bad : {"xyz:1", ":1", "5c", "5c:x", ",5c:1", "5c:-1"})
+    EXPECT_TRUE(parse_parts(bad).path.empty()) << bad;
+  EXPECT_EQ(parse_parts("5c:1,zz:1,5d:1").path.size(), 1u) << "what cannot be read ends the list";
+  EXPECT_TRUE(parse_parts("5c:99999999999999999999").path.empty()) << "more than any prompt holds";
+}
+
+TEST_F(Desks, the_longest_prefix_of_the_host_takes_a_request) {
+  std::string const rest = ",\"shares\":[{\"pool\":\"p\"}]";
+  std::string text;
+  struct Row {
+    char const* name;
+    char const* host;
+    char const* prefix;
+  };
+  for (Row const& row : {Row{"root", "api.test", "/"}, Row{"chat", "api.test", "/v1/chat/"}, Row{"v1", "api.test", "/v1/"},
+                         Row{"other", "other.test", "/v1/chat/deep/"}})
+    text += std::string(text.empty() ? "" : ",") + "{\"name\":\"" + row.name + "\",\"host\":\"" + row.host +
+            "\",\"prefix\":\"" + row.prefix + "\"" + rest + "}";
+  std::shared_ptr<Creed const> const creed = creed_of(text);
+  Row const asked[] = {
+      {"chat", "api.test", "/v1/chat/x"},  {"chat", "API.Test", "/v1/chat/deep/x"}, {"v1", "api.test", "/v1/models"},
+      {"root", "api.test", "/v2"},         {"root", "api.test", "/"},               {"other", "other.test", "/v1/chat/deep/x"},
+      {"", "other.test", "/v1/chat/x"},    {"", "nobody.test", "/v1/chat/x"},       {"v1", "api.test", "/v1/chats/x"},
+      {"root", "api.test", "/v1x"},        {"chat", "api.test", "/v1/chat"},        {"v1", "api.test", "/v1"},
+  };
+  for (Row const& row : asked) {
+    Route const* const route = creed->route(row.host, row.prefix);
+    EXPECT_EQ(route == nullptr ? "" : route->name, row.name) << row.host << row.prefix;
+  }
+}
+
+TEST_F(Desks, no_route_is_told_at_once) {
+  worker("w");
+  EXPECT_EQ(place(1, "nowhere"), "");
+  ASSERT_EQ(out.denials.size(), 1u);
+  EXPECT_EQ(out.denials[0].kind, Kind::not_found);
+  EXPECT_EQ(out.denials[0].wait, 0);
+  EXPECT_TRUE(free_of_work());
+}
+
+TEST_F(Desks, before_any_description_is_known_callers_are_sent_away_for_a_while) {
+  dispatcher.in_force(std::make_shared<Creed>());
+  place(1, "once");
+  ASSERT_EQ(out.denials.size(), 1u);
+  EXPECT_EQ(out.denials[0].kind, Kind::not_ready);
+  EXPECT_GT(out.denials[0].wait, 0);
+}
+
+TEST_F(Desks, shares_go_by_weight) {
+  dispatcher.in_force(creed_of(
+      route_text("once", "", "{\"pool\":\"p\",\"weight\":3},{\"pool\":\"q\",\"weight\":1},{\"pool\":\"p\",\"weight\":0}")));
+  worker("w", "p");
+  worker("v", "q");
+  int first = 0;
+  constexpr int all = 4000;
+  for (std::uint64_t id = 1; id <= all; ++id) {
+    std::string const at = place(id, "once");
+    ASSERT_FALSE(at.empty());
+    first += at == "w" ? 1 : 0;
+    dispatcher.left(id, now);
+    end(id, AttemptEnd::whole);
+  }
+  EXPECT_NEAR(first, all * 3 / 4, all / 20);
+  EXPECT_TRUE(free_of_work());
+}
+
+TEST_F(Desks, only_workers_of_the_pool_that_take_requests_are_chosen) {
+  worker("other", "q");
+  worker("ending");
+  registry.beat([this] {
+    Beat word = beat_of("ending", ++order);
+    word.leaving = true;
+    return word;
+  }(), now);
+  worker("ended");
+  registry.leave("ended", ++order, now);
+  EXPECT_EQ(place(1, "once"), "");
+  EXPECT_TRUE(out.empty());
+  worker("good");
+  wait(seconds(1));
+  EXPECT_EQ(started(1), "good");
+}
+
+TEST_F(Desks, without_a_worker_a_request_waits_and_is_refused_in_time) {
+  for (std::string const route : {"once", "safe", "flow", "live"}) {
+    Micros const came = now;
+    EXPECT_EQ(place(7, route), "");
+    EXPECT_TRUE(out.empty()) << "a worker may come in the next moment";
+    wait(seconds(5));
+    ASSERT_EQ(out.denials.size(), 1u) << route;
+    EXPECT_EQ(out.denials[0].kind, Kind::no_worker);
+    EXPECT_GT(out.denials[0].wait, 0);
+    EXPECT_LT(now - came, seconds(1)) << "well before the caller gives up";
+    EXPECT_TRUE(free_of_work());
+  }
+}
+
+TEST_F(Desks, a_short_deadline_shortens_the_wait) {
+  Query query = query_of("once");
+  query.left = millis(200);
+  Micros const came = now;
+  place(1, query);
+  wait(seconds(5));
+  ASSERT_EQ(out.denials.size(), 1u);
+  EXPECT_LT(now - came, millis(200));
+  EXPECT_GT(out.denials[0].wait, 0);
+}
+
+TEST_F(Desks, a_node_that_is_held_places_nothing) {
+  worker("w");
+  dispatcher.hold(true);
+  EXPECT_EQ(place(1, "once"), "");
+  dispatcher.hold(false);
+  wait(seconds(1));
+  EXPECT_EQ(started(1), "w");
+}
+
+TEST_F(Desks, a_second_worker_is_tried_where_nothing_has_left) {
+  worker("w");
+  worker("v");
+  std::string const first = place(1, "once");
+  ASSERT_FALSE(first.empty());
+  end(1, AttemptEnd::unreached);
+  std::string const second = started(1);
+  EXPECT_FALSE(second.empty());
+  EXPECT_NE(second, first);
+  EXPECT_EQ(out.doubts, std::vector<std::string>{first});
+}
+
+TEST_F(Desks, attempts_are_counted_by_what_may_have_left) {
+  for (char const* const id : {"w1", "w2", "w3", "w4", "w5"}) worker(id);
+  ASSERT_FALSE(place(1, "safe").empty());
+  for (int sends = 1; sends <= 3; ++sends) {
+    dispatcher.left(1, now);
+    end(1, AttemptEnd::broke);
+    EXPECT_EQ(started(1).empty(), sends == 3) << sends;
+  }
+  ASSERT_EQ(out.denials.size(), 1u);
+  EXPECT_GT(out.denials[0].wait, 0) << "a request that may repeat may be asked for again";
+  EXPECT_EQ(dispatcher.tally.sends, 3u);
+  EXPECT_EQ(dispatcher.tally.resends, 2u);
+  EXPECT_TRUE(free_of_work());
+}
+
+TEST_F(Desks, what_may_not_repeat_and_may_have_run_is_failed_without_a_promise) {
+  worker("w");
+  worker("v");
+  for (AttemptEnd const how : {AttemptEnd::broke, AttemptEnd::silent}) {
+    ASSERT_FALSE(place(1, "once").empty());
+    dispatcher.left(1, now);
+    end(1, how);
+    EXPECT_TRUE(out.starts.empty());
+    ASSERT_EQ(out.denials.size(), 1u);
+    EXPECT_EQ(out.denials[0].wait, 0);
+  }
+  EXPECT_TRUE(free_of_work());
+}
+
+TEST_F(Desks, what_was_declined_goes_elsewhere_and_is_refused_when_nobody_is_left) {
+  worker("w");
+  worker("v");
+  std::string const first = place(1, "once");
+  dispatcher.left(1, now);
+  end(1, AttemptEnd::declined);
+  ASSERT_FALSE(started(1).empty());
+  EXPECT_NE(started(1), first);
+  dispatcher.left(1, now);
+  end(1, AttemptEnd::declined);
+  if (out.denials.empty()) wait(seconds(3));
+  ASSERT_EQ(out.denials.size(), 1u);
+  EXPECT_GT(out.denials[0].wait, 0) << "it did not run";
+  EXPECT_TRUE(free_of_work());
+}
+
+TEST_F(Desks, a_failure_of_the_workers_own_goes_back) {
+  worker("w");
+  place(1, "once");
+  dispatcher.left(1, now);
+  end(1, AttemptEnd::failed);
+  EXPECT_EQ(out.passes, std::vector<std::uint64_t>{1});
+  EXPECT_TRUE(free_of_work());
+}
+
+TEST_F(Desks, a_worker_that_breaks_while_it_is_shunned_for_being_full_is_doubted_all_the_same) {
+  worker("w");
+  place(1, "safe");
+  place(2, "safe");
+  dispatcher.left(1, now);
+  dispatcher.left(2, now);
+  end(1, AttemptEnd::declined);
+  EXPECT_TRUE(out.doubts.empty()) << "a worker that declines is well";
+  end(2, AttemptEnd::broke);
+  EXPECT_EQ(out.doubts, std::vector<std::string>{"w"});
+}
+
+TEST_F(Desks, the_deadline_ends_what_is_under_way) {
+  worker("w");
+  struct Row {
+    char const* route;
+    bool left;
+    bool began;
+  };
+  for (Row const& row : {Row{"once", false, false}, Row{"once", true, false}, Row{"live", true, true},
+                         Row{"flow", true, true}, Row{"safe", true, false}}) {
+    Micros const came = now;
+    Query query = query_of(row.route);
+    query.left = millis(600);
+    ASSERT_EQ(place(1, query), "w");
+    EXPECT_LE(out.starts[0].left, millis(600));
+    if (row.left) dispatcher.left(1, now);
+    if (row.began) dispatcher.began(1, now);
+    out = DispatchOut();
+    for (Micros const stop = now + seconds(5); now < stop && out.denials.empty() && out.breaks.empty();) {
+      now += millis(10);
+      dispatcher.tick(now, out);
+      if (row.began && dispatcher.under_way() > 0) dispatcher.event(1, now);
+    }
+    EXPECT_EQ(out.breaks.size(), row.began ? 1u : 0u);
+    EXPECT_EQ(out.denials.size(), row.began ? 0u : 1u);
+    if (!row.began) {
+      EXPECT_EQ(out.denials[0].wait > 0, !row.left) << row.route << " " << row.left;
+    }
+    EXPECT_LE(now - came, millis(610));
+    EXPECT_TRUE(free_of_work());
+  }
+}
+
+TEST_F(Desks, a_stream_moves_away_from_a_worker_that_fell_silent) {
+  worker("w");
+  worker("v");
+  std::string const first = place(1, "flow");
+  dispatcher.left(1, now);
+  dispatcher.began(1, now);
+  now += millis(50);
+  dispatcher.event(1, now);
+  Micros const since = now;
+  wait(seconds(5));
+  EXPECT_EQ(out.cuts, std::vector<std::uint64_t>{1});
+  ASSERT_EQ(out.starts.size(), 1u);
+  EXPECT_NE(out.starts[0].instance, first);
+  EXPECT_TRUE(out.starts[0].resumed);
+  EXPECT_LT(now - since, seconds(2));
+  dispatcher.left(1, now);
+  dispatcher.event(1, now);
+  end(1, AttemptEnd::whole);
+  EXPECT_EQ(dispatcher.tally.served, 1u);
+  EXPECT_EQ(dispatcher.tally.resumes, 1u);
+  EXPECT_TRUE(free_of_work());
+}
+
+TEST_F(Desks, what_may_not_repeat_stays_with_a_silent_worker_until_its_deadline) {
+  for (char const* const id : {"w", "v"}) worker(id);
+  for (bool const began : {false, true}) {
+    place(1, "live");
+    dispatcher.left(1, now);
+    if (began) dispatcher.began(1, now);
+    wait(millis(2900));
+    EXPECT_TRUE(out.empty());
+    wait(seconds(1));
+    EXPECT_TRUE(out.starts.empty());
+    EXPECT_FALSE(out.empty());
+  }
+}
+
+TEST_F(Desks, an_answer_that_cannot_go_on_elsewhere_is_not_cut_for_a_pause) {
+  worker("w");
+  worker("v");
+  ASSERT_FALSE(place(1, "safe").empty());
+  dispatcher.left(1, now);
+  dispatcher.began(1, now);
+  wait(millis(2500));
+  EXPECT_TRUE(out.cuts.empty());
+  EXPECT_TRUE(out.breaks.empty()) << "its route lets it take three seconds";
+}
+
+TEST_F(Desks, what_a_silent_worker_has_is_not_given_up_when_there_is_no_time_for_another) {
+  worker("w");
+  worker("v");
+  Query query = query_of("safe");
+  query.left = millis(870);
+  place(1, query);
+  dispatcher.left(1, now);
+  // The route's aim makes it look elsewhere after some 750 ms; at 800 ms too little is left.
+  dispatcher.hold(true);
+  for (int i = 0; i < 80; ++i) dispatcher.tick(now += millis(10), out);
+  dispatcher.hold(false);
+  out = DispatchOut();
+  dispatcher.tick(now += millis(1), out);
+  EXPECT_TRUE(out.empty()) << "it may still answer in time";
+}
+
+TEST_F(Desks, a_caller_that_hangs_up_leaves_nothing_behind) {
+  worker("w");
+  for (int stage = 0; stage < 3; ++stage) {
+    place(1, "flow");
+    if (stage > 0) dispatcher.left(1, now);
+    if (stage > 1) dispatcher.began(1, now);
+    dispatcher.hung_up(1, now);
+    EXPECT_TRUE(free_of_work());
+    end(1, AttemptEnd::broke);
+    EXPECT_TRUE(out.empty()) << "what comes late is nobody's";
+  }
+  EXPECT_EQ(dispatcher.tally.hangups, 3u);
+}
+
+TEST_F(Desks, prompts_follow_their_openings) {
+  for (char const* const id : {"w1", "w2", "w3", "w4"}) worker(id);
+  Query query = query_of("once");
+  query.parts = parse_parts("aa:4000,bb:50");
+  query.tokens_in = 4050;
+  std::string const home = place(1, query);
+  dispatcher.left(1, now);
+  end(1, AttemptEnd::whole);
+  for (std::uint64_t id = 2; id < 8; ++id) {
+    Query next = query;
+    next.parts = parse_parts("aa:4000,c" + std::to_string(id) + ":50");
+    EXPECT_EQ(place(id, next), home);
+    dispatcher.left(id, now);
+    end(id, AttemptEnd::whole);
+  }
+  // Another node that knows nothing of it yet chooses the same one.
+  Tide other_tide(2);
+  Registry other_registry("n2");
+  for (char const* const id : {"w1", "w2", "w3", "w4"}) other_registry.beat(beat_of(id, 1), now);
+  Dispatcher other("n2", "a", other_tide, other_registry);
+  other.in_force(usual());
+  DispatchOut first;
+  other.fresh(1, query, now, first);
+  ASSERT_EQ(first.starts.size(), 1u);
+  EXPECT_EQ(first.starts[0].instance, home);
+}
+
+TEST_F(Desks, near_workers_come_first_and_the_load_is_spread) {
+  worker("near");
+  Beat far = beat_of("far", 1);
+  far.zone = "b";
+  registry.beat(far, now);
+  EXPECT_EQ(place(1, "once"), "near");
+  int at_far = 0;
+  for (std::uint64_t id = 2; id < 40; ++id) at_far += place(id, "once") == "far" ? 1 : 0;
+  EXPECT_GT(at_far, 5);
+  EXPECT_GT(dispatcher.tally.far_sends, 0u);
+}
+
+namespace {
+struct Span {
+  std::deque<std::pair<Micros, double>> items;
+  double sum = 0;
+  void add(Micros now, double what, Micros length) {
+    items.emplace_back(now, what);
+    sum += what;
+    while (now - items.front().first > length) {
+      sum -= items.front().second;
+      items.pop_front();
+    }
+  }
+};
+}  // namespace
+
+// Many nodes with one store between them. First long quiet, then workers that break every answer: in no window may the
+// re-sends of all nodes be more than their requests earn there and the store.
+TEST(Budgets, hold_over_all_nodes_in_every_window) {
+  constexpr double ratio = 0.15;
+  constexpr double store = 18;
+  for (std::size_t const count : {std::size_t(1), std::size_t(3), std::size_t(6), std::size_t(12)}) {
+    struct Box {
+      Tide tide{1};
+      std::unique_ptr<Registry> registry;
+      std::unique_ptr<Dispatcher> dispatcher;
+      std::uint64_t resends = 0;
+    };
+    std::vector<std::unique_ptr<Box>> nodes;
+    for (std::size_t i = 0; i < count; ++i) {
+      nodes.push_back(std::make_unique<Box>());
+      std::string const name = "n" + std::to_string(i);
+      nodes[i]->registry = std::make_unique<Registry>(name);
+      nodes[i]->dispatcher = std::make_unique<Dispatcher>(name, "a", nodes[i]->tide, *nodes[i]->registry);
+      nodes[i]->dispatcher->in_force(usual());
+      nodes[i]->dispatcher->budget(ratio, store);
+      nodes[i]->dispatcher->nodes(count);
+      for (char const* const id : {"w1", "w2", "w3", "w4"}) nodes[i]->registry->beat(beat_of(id, 1), 0);
+    }
+    Dice dice(count);
+    Micros now = 0;
+    std::uint64_t id = 0;
+    double worst = 0;
+    double worst_span = 0;
+    std::uint64_t resends = 0;
+    // The sum in each window is at most 'store' when no stretch of (re-sends - ratio * requests) exceeds it.
+    double stretch = 0;
+    Span asked;
+    Span again;
+    for (int turn = 0; turn < 4000; ++turn) {
+      now += millis(20);
+      bool const bad = turn % 1000 > 800 && turn % 1000 < 900;
+      Box& box = *nodes[dice.below(count)];
+      DispatchOut out;
+      box.dispatcher->fresh(++id, query_of("safe"), now, out);
+      stretch = std::max(0.0, stretch - ratio);
+      asked.add(now, 1, seconds(2));
+      while (!out.starts.empty()) {
+        out = DispatchOut();
+        box.dispatcher->left(id, now);
+        std::uint64_t const so_far = box.dispatcher->tally.resends;
+        if (so_far > box.resends) {
+          box.resends = so_far;
+          ++resends;
+          stretch += 1;
+          worst = std::max(worst, stretch);
+          again.add(now, 1, seconds(2));
+          worst_span = std::max(worst_span, again.sum - ratio * asked.sum);
+        }
+        box.dispatcher->ended(id, bad ? AttemptEnd::broke : AttemptEnd::whole, false, now, out);
+      }
+    }
+    EXPECT_GT(resends, 0u);
+    EXPECT_LE(worst, store + 1e-6) << count << " nodes, any window";
+    EXPECT_LE(worst_span, store + 1e-6) << count << " nodes, windows of two seconds";
+  }
+}
+
+namespace {
+// Sees every effect and event of a walk, and knows what may not be.
+class Judge {
+ public:
+  struct Row {
+    std::string route;
+    bool ended = false;
+    bool active = false;
+    bool left = false;   // of the attempt under way
+    bool began = false;  // of the request
+    bool maybe_ran = false;
+    int sends = 0;
+    int ends = 0;
+    std::string at;
+    std::set<std::string> tried;
+    bool may_repeat() const { return route == "safe" || route == "flow"; }
+  };
+  std::map<std::uint64_t, Row> rows;
+
+  void take(DispatchOut const& out, Registry& registry) {
+    for (std::uint64_t const id : out.cuts) {
+      ASSERT_TRUE(rows.at(id).active) << id << " has no attempt that could be cut";
+      stop(rows.at(id), true);
+    }
+    for (Attempt const& item : out.starts) {
+      Row& row = rows.at(item.request);
+      ASSERT_FALSE(row.ended) << "an ended request is sent";
+      ASSERT_FALSE(row.active) << "two attempts at once";
+      ASSERT_TRUE(row.tried.insert(item.instance).second) << "twice to the same worker";
+      if (!row.may_repeat()) {
+        ASSERT_FALSE(row.maybe_ran) << "it may run twice";
+      }
+      ASSERT_EQ(item.resumed, row.began);
+      Instance const* const at = registry.find(item.instance);
+      ASSERT_NE(at, nullptr);
+      ASSERT_TRUE(at->takes());
+      row.active = true;
+      row.left = false;
+      row.at = item.instance;
+    }
+    for (Denial const& item : out.denials) {
+      Row& row = rows.at(item.request);
+      ASSERT_FALSE(row.began);
+      if (item.wait > 0 && !row.may_repeat()) {
+        ASSERT_FALSE(row.maybe_ran) << "a promise that cannot be kept";
+      }
+      end(row);
+    }
+    for (std::uint64_t const id : out.breaks) {
+      ASSERT_TRUE(rows.at(id).began);
+      end(rows.at(id));
+    }
+    for (std::uint64_t const id : out.passes) {
+      ASSERT_FALSE(rows.at(id).began);
+      end(rows.at(id));
+    }
+  }
+  void stop(Row& row, bool may_have_run) {
+    row.active = false;
+    row.maybe_ran = row.maybe_ran || (row.left && may_have_run);
+  }
+  void end(Row& row) {
+    ASSERT_EQ(++row.ends, 1) << "two ends";
+    ASSERT_FALSE(row.active);
+    row.ended = true;
+  }
+};
+}  // namespace
+
+class Walks : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(Walks, end_every_request_once_and_run_it_at_most_once_where_it_must) {
+  Dice dice(GetParam());
+  Tide tide(GetParam());
+  Registry registry("n1");
+  registry.span(millis(1000));
+  Dispatcher dispatcher("n1", "a", tide, registry);
+  dispatcher.budget(0.3, 10);
+  dispatcher.nodes(2);
+  std::shared_ptr<Creed const> const rules[] = {usual(), usual()};
+  dispatcher.in_force(rules[0]);
+  Judge judge;
+  Micros now = seconds(10);
+  std::uint64_t next = 0;
+  std::uint64_t order = 0;
+  char const* const routes[] = {"once", "safe", "flow", "live"};
+  std::vector<std::uint64_t> open;
+  for (int turn = 0; turn < 40000; ++turn) {
+    now += static_cast<Micros>(dice.below(static_cast<std::uint64_t>(millis(6))));
+    DispatchOut out;
+    std::uint64_t const what = dice.below(100);
+    if (what < 12 && next < 2500) {
+      std::uint64_t const id = ++next;
+      Query query = query_of(routes[dice.below(4)]);
+      if (dice.chance(0.3)) query.left = millis(static_cast<std::int64_t>(1 + dice.below(1500)));
+      if (dice.chance(0.5)) query.parts = parse_parts("a" + std::to_string(dice.below(6)) + ":300,b" + std::to_string(id) + ":9");
+      query.tokens_in = static_cast<std::int64_t>(dice.below(500));
+      judge.rows[id].route = query.path.substr(1, query.path.find('/', 1) - 1);
+      open.push_back(id);
+      dispatcher.fresh(id, std::move(query), now, out);
+    } else if (what < 24) {
+      dispatcher.tick(now, out);
+    } else if (what < 30) {
+      Beat word = beat_of("w" + std::to_string(dice.below(6)) + "-" + std::to_string(turn / 8000), ++order);
+      word.leaving = dice.chance(0.1);
+      registry.beat(word, now);
+    } else if (what < 31) {
+      registry.leave("w" + std::to_string(dice.below(6)) + "-" + std::to_string(turn / 8000), ++order, now);
+    } else if (what < 33) {
+      registry.silent(now);
+      registry.sum_others(now);
+    } else if (what < 34) {
+      dispatcher.hold(dice.chance(0.2));
+    } else if (what < 35) {
+      dispatcher.in_force(rules[dice.below(2)]);
+    } else if (!open.empty()) {
+      std::size_t const spot = dice.below(open.size());
+      std::uint64_t const id = open[spot];
+      Judge::Row& row = judge.rows.at(id);
+      std::uint64_t const step = dice.below(20);
+      if (row.ended) {
+        // An executor's late word of what has ended.
+        dispatcher.left(id, now);
+        dispatcher.event(id, now);
+        dispatcher.ended(id, AttemptEnd::broke, false, now, out);
+        open.erase(open.begin() + static_cast<std::ptrdiff_t>(spot));
+      } else if (step == 0) {
+        dispatcher.hung_up(id, now);
+        judge.stop(row, true);
+        judge.end(row);
+      } else if (!row.active) {
+      } else if (!row.left) {
+        if (step < 5) {
+          judge.stop(row, false);
+          dispatcher.ended(id, AttemptEnd::unreached, false, now, out);
+        } else {
+          row.left = true;
+          ++row.sends;
+          dispatcher.left(id, now);
+        }
+      } else if (step < 6) {
+        row.began = true;
+        dispatcher.began(id, now);
+      } else if (step < 11) {
+        if (row.began) dispatcher.event(id, now);
+      } else if (step < 13) {
+        judge.stop(row, true);
+        judge.end(row);
+        dispatcher.ended(id, AttemptEnd::whole, false, now, out);
+      } else {
+        AttemptEnd const how = step < 15 && !row.began   ? AttemptEnd::declined
+                               : step < 17 && !row.began ? AttemptEnd::failed
+                                                         : AttemptEnd::broke;
+        judge.stop(row, how != AttemptEnd::declined);
+        dispatcher.ended(id, how, how == AttemptEnd::declined && dice.chance(0.5), now, out);
+      }
+    }
+    judge.take(out, registry);
+    if (HasFatalFailure()) return;
+    if (turn % 50 == 0) {
+      std::map<std::string, std::int64_t> running;
+      std::size_t alive = 0;
+      for (std::pair<std::uint64_t const, Judge::Row> const& item : judge.rows) {
+        if (item.second.active) ++running[item.second.at];
+        alive += item.second.ended ? 0 : 1;
+      }
+      ASSERT_EQ(dispatcher.under_way(), alive);
+      for (std::pair<std::string const, Instance> const& item : registry.all) {
+        ASSERT_EQ(item.second.running, running[item.first]) << item.first;
+        ASSERT_GE(item.second.reading, 0);
+        ASSERT_GE(item.second.held, 0);
+      }
+    }
+  }
+  dispatcher.hold(false);
+  for (int i = 0; i < 500; ++i) {
+    DispatchOut out;
+    dispatcher.tick(now += millis(10), out);
+    judge.take(out, registry);
+    if (HasFatalFailure()) return;
+  }
+  EXPECT_EQ(dispatcher.under_way(), 0u);
+  for (std::pair<std::uint64_t const, Judge::Row> const& item : judge.rows) {
+    EXPECT_EQ(item.second.ends, 1) << item.first;
+    EXPECT_LE(item.second.sends, 3) << item.first;
+  }
+  for (std::pair<std::string const, Instance> const& item : registry.all) {
+    EXPECT_EQ(item.second.running, 0);
+    EXPECT_EQ(item.second.reading, 0);
+    EXPECT_EQ(item.second.held, 0);
+  }
+  EXPECT_EQ(judge.rows.size(), 2500u);
+  DispatchTally const& t = dispatcher.tally;
+  EXPECT_EQ(t.asked, t.served + t.refused + t.failed + t.broken + t.passed + t.hangups);
+  EXPECT_GT(t.resends, 20u);
+  EXPECT_GT(t.resumes, 5u);
+  EXPECT_GT(t.silences, 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Walks, testing::Range<std::uint64_t>(1, 9));
+
+}  // namespace pipit
