--- /dev/null
+++ b/tests/http.cc
@@ -0,0 +1,1238 @@
+// HTTP as a router must read it: messages however their bytes come, what is refused, and connections to workers (§12.2).
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <functional>
+
+#include "gate/net/server.h"
+#include "gate/net/upstream.h"
+#include "ground/mix.h"
+
+namespace pipit {
+
+namespace {
+// Turns the main loop by hand until something holds; a watchdog ends a wait that would never end.
+bool until(std::function<bool()> const& holds) {
+  bool late = false;
+  guint const dog = g_timeout_add_seconds(
+      20,
+      [](gpointer data) -> gboolean {
+        *static_cast<bool*>(data) = true;
+        return G_SOURCE_CONTINUE;
+      },
+      &late);
+  while (!late && !holds()) g_main_context_iteration(nullptr, TRUE);
+  g_source_remove(dog);
+  return holds();
+}
+// Whatever can be done without waiting.
+void settle() {
+  for (int turns = 0; turns < 1000 && g_main_context_iteration(nullptr, FALSE); ++turns) {
+  }
+}
+
+// A free port of this machine's loopback.
+std::string free_address() {
+  int const fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in own = {};
+  own.sin_family = AF_INET;
+  own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof own;
+  EXPECT_EQ(::bind(fd, reinterpret_cast<sockaddr*>(&own), sizeof own), 0);
+  EXPECT_EQ(::getsockname(fd, reinterpret_cast<sockaddr*>(&own), &size), 0);
+  ::close(fd);
+  return "127.0.0.1:" + std::to_string(ntohs(own.sin_port));
+}
+std::string open_door(std::function<Result<void>(std::string const&)> const& listen) {
+  for (int tries = 0; tries < 20; ++tries) {
+    std::string const address = free_address();
+    if (listen(address)) return address;
+  }
+  ADD_FAILURE() << "no free port";
+  return "";
+}
+
+// One side of a connection, as it is seen from outside.
+struct Wire {
+  std::shared_ptr<Link> link;
+  std::string got;
+  bool up = false;
+  bool shut = false;
+  Link::End how = Link::End::closed;
+
+  void hear() {
+    link->listen({[this] { up = true; }, [this](std::string_view bytes) { got.append(bytes); },
+                  [this](Link::End how_) {
+                    shut = true;
+                    how = how_;
+                  },
+                  nullptr});
+  }
+  explicit Wire(std::shared_ptr<Link> link_) : link(std::move(link_)), up(true) { hear(); }
+  explicit Wire(std::string const& address) : link(Link::dial(address, "", seconds(10))) {
+    hear();
+    EXPECT_TRUE(until([this] { return up || shut; }));
+  }
+  ~Wire() { link->close(); }
+  Wire(Wire const&) = delete;
+  void send(std::string_view bytes) { link->write(bytes); }
+};
+
+std::size_t count_of(std::string const& text, std::string const& what) {
+  std::size_t n = 0;
+  for (std::size_t at = text.find(what); at != std::string::npos; at = text.find(what, at + what.size())) ++n;
+  return n;
+}
+
+struct Message {
+  std::string line;  // method and target, or status
+  std::vector<std::pair<std::string, std::string>> fields;
+  std::string body;
+  bool keep = true;
+  bool operator==(Message const&) const = default;
+};
+
+std::ostream& operator<<(std::ostream& out, Message const& item) {
+  out << item.line << " |";
+  for (std::pair<std::string, std::string> const& field : item.fields) out << field.first << "=" << field.second << "|";
+  return out << item.body;
+}
+
+struct Reading {
+  std::vector<Message> whole;
+  Reader::Error error = Reader::Error::none;
+  bool between = true;  // nothing is half read
+};
+
+// Reads a text that comes in the given pieces.
+Reading read_pieces(bool requests, std::vector<std::string_view> const& pieces, bool bodiless = false,
+                    std::size_t head_most = 65536, std::size_t body_most = 1u << 20) {
+  Reading out;
+  Reader reader(requests);
+  reader.limit(head_most, body_most);
+  Message now;
+  reader.ears.head = [&](Head& head) {
+    now.line = requests ? head.method + " " + head.target : std::to_string(head.status);
+    now.fields = head.fields;
+    now.keep = head.keep;
+    return !bodiless;
+  };
+  reader.ears.body = [&](std::string_view bytes) { now.body.append(bytes); };
+  reader.ears.whole = [&] {
+    out.whole.push_back(now);
+    now = Message();
+  };
+  for (std::string_view piece : pieces) {
+    while (!piece.empty()) {
+      // A copy of its own, so that reading past its end is seen.
+      std::string const part(piece);
+      std::size_t const took = reader.feed(part);
+      if (reader.error() != Reader::Error::none) {
+        out.error = reader.error();
+        return out;
+      }
+      piece.remove_prefix(std::min(took, piece.size()));
+      if (reader.complete())
+        reader.next();
+      else if (!piece.empty()) {
+        ADD_FAILURE() << "bytes were left over in the middle of a message";
+        return out;
+      }
+    }
+  }
+  out.between = reader.idle();
+  return out;
+}
+Reading read_whole(bool requests, std::string const& text) { return read_pieces(requests, {text}); }
+
+std::string const host = "Host: h.test\r\n";
+std::string const good_requests[] = {
+    "GET /a?b=c HTTP/1.1\r\n" + host + "\r\n",
+    "POST /p HTTP/1.1\r\n" + host + "Content-Length: 5\r\nX-One:  two words \r\n\r\nhello",
+    "POST /p HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nA;ext=1\r\n0123456789\r\n0\r\n\r\n",
+    "PUT /p HTTP/1.1\r\n" + host + "transfer-encoding: chunked\r\n\r\n1\r\n\n\r\n0\r\nX-Trailer: t\r\n\r\n",
+    "HEAD /h HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n",
+    "POST /e HTTP/1.0\r\nContent-Length: 0\r\n" + host + "X-Empty:\r\n\r\n",
+};
+}  // namespace
+
+TEST(Reading, is_the_same_wherever_the_bytes_are_split) {
+  std::string all;
+  for (std::string const& one : good_requests) all += one;
+  Reading const whole = read_whole(true, all);
+  ASSERT_EQ(whole.error, Reader::Error::none);
+  ASSERT_EQ(whole.whole.size(), std::size(good_requests)) << "pipelined";
+  EXPECT_EQ(whole.whole[1].body, "hello");
+  EXPECT_EQ(whole.whole[1].fields[2].second, "two words") << "blanks around a value are no part of it";
+  EXPECT_EQ(whole.whole[2].body, "hello0123456789");
+  EXPECT_EQ(whole.whole[3].body, "\n");
+  EXPECT_EQ(whole.whole[3].fields.size(), 2u) << "a trailer is no field of the head";
+  EXPECT_FALSE(whole.whole[4].keep);
+  EXPECT_FALSE(whole.whole[5].keep) << "HTTP/1.0";
+  EXPECT_TRUE(whole.between);
+  for (std::size_t at = 1; at < all.size(); ++at) {
+    std::string_view const text = all;
+    Reading const split = read_pieces(true, {text.substr(0, at), text.substr(at)});
+    ASSERT_EQ(split.error, Reader::Error::none) << at;
+    ASSERT_EQ(split.whole, whole.whole) << at;
+  }
+  std::vector<std::string_view> single;
+  for (std::size_t at = 0; at < all.size(); ++at) single.push_back(std::string_view(all).substr(at, 1));
+  EXPECT_EQ(read_pieces(true, single).whole, whole.whole);
+}
+
+TEST(Reading, knows_where_answers_end) {
+  std::string const all =
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+      "HTTP/1.1 204 No Content\r\n\r\n"
+      "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n"
+      "HTTP/1.1 100 Continue\r\n\r\n"
+      "HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  for (std::size_t at = 0; at < all.size(); ++at) {
+    std::string_view const text = all;
+    Reading const out = read_pieces(false, {text.substr(0, at), text.substr(at)});
+    ASSERT_EQ(out.whole.size(), 5u) << at;
+    EXPECT_EQ(out.whole[0].body, "ok");
+    EXPECT_EQ(out.whole[4].body, "abc");
+    EXPECT_FALSE(out.whole[4].keep);
+  }
+  Reading const head = read_pieces(false, {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"}, true);
+  EXPECT_EQ(head.whole.size(), 2u) << "answers to HEAD have no body whatever they announce";
+}
+
+TEST(Reading, ends_an_answer_without_length_with_its_connection) {
+  for (bool const cut : {false, true}) {
+    Reader reader(false);
+    std::string body;
+    int whole = 0;
+    reader.ears.body = [&body](std::string_view bytes) { body.append(bytes); };
+    reader.ears.whole = [&whole] { ++whole; };
+    std::string const text = cut ? "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc" : "HTTP/1.1 200 OK\r\n\r\nabc";
+    EXPECT_EQ(reader.feed(text), text.size());
+    EXPECT_EQ(whole, 0);
+    EXPECT_EQ(reader.eof(), !cut);
+    EXPECT_EQ(whole, cut ? 0 : 1);
+    EXPECT_EQ(body, "abc");
+  }
+}
+
+namespace {
+struct Bad {
+  char const* name;
+  std::string text;
+};
+std::string chunks(std::string const& text) {
+  return "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n" + text;
+}
+std::string head(std::string const& fields) { return "POST / HTTP/1.1\r\n" + host + fields + "\r\n"; }
+
+std::vector<Bad> const& bad_requests() {
+  static std::vector<Bad> const rows = {
+      {"two lengths", head("Content-Length: 5\r\nContent-Length: 6\r\n") + "hello!"},
+      {"two lengths alike", head("Content-Length: 5\r\nContent-Length: 5\r\n") + "hello"},
+      {"a list of lengths", head("Content-Length: 5, 5\r\n") + "hello"},
+      {"length with chunks", head("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n"},
+      {"chunks with length", head("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n") + "0\r\n\r\n"},
+      {"negative length", head("Content-Length: -5\r\n") + "hello"},
+      {"signed length", head("Content-Length: +5\r\n") + "hello"},
+      {"hex length", head("Content-Length: 0x5\r\n") + "hello"},
+      {"length with a tail", head("Content-Length: 5 6\r\n") + "hello"},
+      {"length with letters", head("Content-Length: 5a\r\n") + "hello"},
+      {"empty length", head("Content-Length:\r\n") + "GET / HTTP/1.1\r\n" + host + "\r\n"},
+      {"blank length", head("Content-Length:   \r\n") + "GET / HTTP/1.1\r\n" + host + "\r\n"},
+      {"overflowing length", head("Content-Length: 18446744073709551621\r\n") + "hello"},
+      {"length with a blank before its colon", head("Content-Length : 5\r\n") + "hello"},
+      {"chunks with a blank before the colon", head("Transfer-Encoding : chunked\r\n") + "0\r\n\r\n"},
+      {"host with a blank before its colon", "GET / HTTP/1.1\r\nHost : h.test\r\n\r\n"},
+      {"name with a tab", head("X-A\tB: 1\r\n")},
+      {"name with a blank", head("X A: 1\r\n")},
+      {"name with high bytes", head("X-\xc3\xa9: 1\r\n")},
+      {"no name", head(": 1\r\n")},
+      {"no colon", head("nonsense\r\n")},
+      {"odd encoding", head("Transfer-Encoding: gzip, chunked\r\n") + "0\r\n\r\n"},
+      {"encoding that is not the last", head("Transfer-Encoding: chunked, gzip\r\n") + "0\r\n\r\n"},
+      {"unknown encoding", head("Transfer-Encoding: xchunked\r\n") + "0\r\n\r\n"},
+      {"identity", head("Transfer-Encoding: identity\r\n")},
+      {"empty encoding", head("Transfer-Encoding:\r\n") + "0\r\n\r\n"},
+      {"quoted encoding", head("Transfer-Encoding: \"chunked\"\r\n") + "0\r\n\r\n"},
+      {"chunked twice", head("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n"},
+      {"chunked and another", head("Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n") + "0\r\n\r\n"},
+      {"encoding with control", head("Transfer-Encoding: \x0b" "chunked\r\n") + "0\r\n\r\n"},
+      {"chunk size with a sign", chunks("+5\r\nhello\r\n0\r\n\r\n")},
+      {"chunk size with 0x", chunks("0x5\r\nhello\r\n0\r\n\r\n")},
+      {"negative chunk size", chunks("-1\r\nhello\r\n0\r\n\r\n")},
+      {"no chunk size", chunks("\r\nhello\r\n0\r\n\r\n")},
+      {"no chunk size but an extension", chunks(";x\r\n\r\n")},
+      {"letters as chunk size", chunks("5g\r\nhello\r\n0\r\n\r\n")},
+      {"chunk size with a blank before it", chunks(" 5\r\nhello\r\n0\r\n\r\n")},
+      {"two chunk sizes", chunks("5 5\r\nhello\r\n0\r\n\r\n")},
+      {"overflowing chunk size", chunks("10000000000000005\r\nhello\r\n0\r\n\r\n")},
+      {"huge chunk size", chunks("FFFFFFFFFFFFFFFF\r\nhello\r\n0\r\n\r\n")},
+      {"chunk longer than its size", chunks("3\r\nhello\r\n0\r\n\r\n")},
+      {"chunk shorter than its size", chunks("7\r\nhello\r\n0\r\n\r\n")},
+      {"bare LF after a chunk size", chunks("5\nhello\r\n0\r\n\r\n")},
+      {"bare LF in a chunk extension", chunks("5;a\nhello\r\n0\r\n\r\n")},
+      {"odd bytes after a chunk", chunks("3\r\nabcXX0\r\n\r\n")},
+      {"odd byte after the CR of a chunk size", chunks("3\rXabc\r\n0\r\n\r\n")},
+      {"odd byte at the end of chunks", chunks("0\r\n\rX")},
+      {"bare LF after a chunk", chunks("5\r\nhello\n0\r\n\r\n")},
+      {"bare LF in a trailer", chunks("0\r\nX-T: 1\n\r\n")},
+      {"bare LF at the end of chunks", chunks("0\r\n\n")},
+      {"bad trailer", chunks("0\r\nno colon\r\n\r\n")},
+      {"folded trailer", chunks("0\r\nX-T: 1\r\n 2\r\n\r\n")},
+      {"folded field", head("X-A: 1\r\n 2\r\n")},
+      {"folded with a tab", head("X-A: 1\r\n\t2\r\n")},
+      {"folded host", "GET / HTTP/1.1\r\nHost: h\r\n .test\r\n\r\n"},
+      {"folded encoding", head("Transfer-Encoding:\r\n chunked\r\n") + "0\r\n\r\n"},
+      {"folded length", head("Content-Length: 1\r\n 0\r\n") + "helloworld"},
+      {"blank before the first field", "GET / HTTP/1.1\r\n X: 1\r\n" + host + "\r\n"},
+      {"null in a value", head(std::string("X-A: 1") + '\0' + "2\r\n")},
+      {"null in a name", head(std::string("X") + '\0' + "A: 1\r\n")},
+      {"control in a value", head("X-A: 1\x01" "2\r\n")},
+      {"DEL in a value", head("X-A: 1\x7f\r\n")},
+      {"CR in a value", head("X-A: 1\r2\r\n")},
+      {"two CR", "GET / HTTP/1.1\r\n" + host + "\r\r\n"},
+      {"control in the target", "GET /a\x01" "b HTTP/1.1\r\n" + host + "\r\n"},
+      {"tab in the target", "GET /a\tb HTTP/1.1\r\n" + host + "\r\n"},
+      {"form feed in the target", "GET /a\x0c" "b HTTP/1.1\r\n" + host + "\r\n"},
+      {"DEL in the target", "GET /a\x7f HTTP/1.1\r\n" + host + "\r\n"},
+      {"null in the target", std::string("GET /a") + '\0' + "b HTTP/1.1\r\n" + host + "\r\n"},
+      {"blank in the target", "GET /a b HTTP/1.1\r\n" + host + "\r\n"},
+      {"two Hosts", "GET / HTTP/1.1\r\nHost: a.test\r\nHost: b.test\r\n\r\n"},
+      {"two Hosts alike", "GET / HTTP/1.1\r\n" + host + "hOST: h.test\r\n\r\n"},
+      {"no Host", "GET / HTTP/1.1\r\nX-A: 1\r\n\r\n"},
+      {"no fields", "GET / HTTP/1.1\r\n\r\n"},
+      {"bare LF everywhere", "GET / HTTP/1.1\nHost: h.test\n\n"},
+      {"bare LF after the first line", "GET / HTTP/1.1\n" + host + "\r\n"},
+      {"bare LF after a field", "GET / HTTP/1.1\r\nHost: h.test\nX-A: 1\r\n\r\n"},
+      {"bare LF at the end of the head", "GET / HTTP/1.1\r\n" + host + "\n"},
+      {"bare LF before the first line", "\nGET / HTTP/1.1\r\n" + host + "\r\n"},
+      {"bare CR", "GET / HTTP/1.1\r" + host + "\r\n"},
+      {"no version", "GET /\r\n" + host + "\r\n"},
+      {"another version", "GET / HTTP/2.0\r\n" + host + "\r\n"},
+      {"odd version", "GET / HTTP/1.x\r\n" + host + "\r\n"},
+      {"version with blanks", "GET / HTTP/1.1 \r\n" + host + "\r\n"},
+      {"another protocol", "GET / HTTQ/1.1\r\n" + host + "\r\n"},
+      {"no target", "GET  HTTP/1.1\r\n" + host + "\r\n"},
+      {"a target without a slash", "GET a HTTP/1.1\r\n" + host + "\r\n"},
+      {"a tunnel", "CONNECT h.test:443 HTTP/1.1\r\n" + host + "\r\n"},
+      {"an upgrade", "GET / HTTP/1.1\r\n" + host + "Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n"},
+      {"a method of small letters", "get / HTTP/1.1\r\n" + host + "\r\n"},
+      {"an unknown method", "FETCH / HTTP/1.1\r\n" + host + "\r\n"},
+      {"an answer", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+      {"TLS", std::string("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", 11)},
+      {"large head", "GET / HTTP/1.1\r\n" + host + "X-A: " + std::string(20000, 'a') + "\r\n\r\n"},
+      {"many fields", [] {
+         std::string out = "GET / HTTP/1.1\r\n" + host;
+         for (int i = 0; i < 3000; ++i) out += "X-A: 1\r\n";
+         return out + "\r\n";
+       }()},
+      {"large target", "GET /" + std::string(20000, 'a') + " HTTP/1.1\r\n" + host + "\r\n"},
+      {"large body", head("Content-Length: 20001\r\n") + std::string(20001, 'b')},
+      {"large chunk", chunks("4E21\r\n" + std::string(20001, 'b') + "\r\n0\r\n\r\n")},
+      {"many chunks", [] {
+         std::string out = chunks("");
+         for (int i = 0; i < 21; ++i) out += "3E8\r\n" + std::string(1000, 'b') + "\r\n";
+         return out + "0\r\n\r\n";
+       }()},
+  };
+  return rows;
+}
+constexpr std::size_t small_head = 16384;
+constexpr std::size_t small_body = 20000;
+
+// What a strict reader, written apart from the product's, takes for whole requests (RFC 9112); it ends at the first
+// thing that it does not know for sure. It may take more than the product does, never less of what the product takes.
+class Strict {
+ public:
+  explicit Strict(std::string_view text_) : text(text_) {
+    while (one()) {
+    }
+  }
+  std::vector<Message> whole;
+
+ private:
+  static bool letter(char c) {
+    return g_ascii_isalnum(c) || (c != '\0' && std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos);
+  }
+  bool line(std::string_view& out) {
+    std::size_t const end = text.find("\r\n", at);
+    if (end == std::string_view::npos) return false;
+    out = text.substr(at, end - at);
+    at = end + 2;
+    for (char const c : out)
+      if ((static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7f) return false;
+    return true;
+  }
+  static std::string_view trimmed(std::string_view value) {
+    while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) value.remove_prefix(1);
+    while (!value.empty() && (value.back() == ' ' || value.back() == '\t')) value.remove_suffix(1);
+    return value;
+  }
+  bool fields(std::vector<std::pair<std::string, std::string>>& out) {
+    std::string_view row;
+    while (line(row)) {
+      if (row.empty()) return true;
+      std::size_t const colon = row.find(':');
+      if (colon == std::string_view::npos || colon == 0) return false;
+      for (char const c : row.substr(0, colon))
+        if (!letter(c)) return false;
+      out.emplace_back(std::string(row.substr(0, colon)), std::string(trimmed(row.substr(colon + 1))));
+    }
+    return false;
+  }
+  static bool number(std::string_view word, std::uint64_t base, std::uint64_t& out) {
+    if (word.empty() || word.size() > 15) return false;
+    out = 0;
+    for (char const c : word) {
+      int const digit = base == 16 ? g_ascii_xdigit_value(c) : g_ascii_digit_value(c);
+      if (digit < 0) return false;
+      out = out * base + static_cast<std::uint64_t>(digit);
+    }
+    return true;
+  }
+  bool take(std::uint64_t size, std::string& out) {
+    if (text.size() - at < size) return false;
+    out.append(text.substr(at, size));
+    at += size;
+    return true;
+  }
+  bool one() {
+    std::string_view row;
+    do {
+      if (!line(row)) return false;
+    } while (row.empty());
+    std::size_t const a = row.find(' ');
+    std::size_t const b = row.rfind(' ');
+    if (a == std::string_view::npos || a == b || a == 0) return false;
+    std::string_view const method = row.substr(0, a);
+    std::string_view const target = row.substr(a + 1, b - a - 1);
+    std::string_view const version = row.substr(b + 1);
+    for (char const c : method)
+      if (!letter(c)) return false;
+    if (target.empty() || target.front() != '/' || target.find_first_of(" \t") != std::string_view::npos) return false;
+    if (version.size() != 8 || version.substr(0, 7) != "HTTP/1." || !g_ascii_isdigit(version[7])) return false;
+    Message out;
+    out.line = std::string(method) + " " + std::string(target);
+    if (!fields(out.fields)) return false;
+    int hosts = 0;
+    int lengths = 0;
+    int encodings = 0;
+    std::uint64_t length = 0;
+    for (std::pair<std::string, std::string> const& field : out.fields) {
+      if (same_letters(field.first, "Host")) ++hosts;
+      if (same_letters(field.first, "Content-Length") && (++lengths > 1 || !number(field.second, 10, length))) return false;
+      if (same_letters(field.first, "Transfer-Encoding") && (++encodings > 1 || !same_letters(field.second, "chunked")))
+        return false;
+    }
+    if (hosts != 1 || lengths + encodings > 1) return false;
+    if (encodings == 0) {
+      if (!take(length, out.body)) return false;
+    } else {
+      for (std::uint64_t size = 1; size > 0;) {
+        if (!line(row)) return false;
+        std::string_view const word = row.substr(0, row.find(';'));
+        std::size_t const end = word.find_last_not_of(" \t");
+        if (end == std::string_view::npos || !number(word.substr(0, end + 1), 16, size)) return false;
+        if (size == 0) break;
+        std::string crlf;
+        if (!take(size, out.body) || !take(2, crlf) || crlf != "\r\n") return false;
+      }
+      std::vector<std::pair<std::string, std::string>> trailers;
+      if (!fields(trailers)) return false;
+    }
+    whole.push_back(std::move(out));
+    return true;
+  }
+
+  std::string_view const text;
+  std::size_t at = 0;
+};
+
+// Every request that was read is one that the strict reader takes too, in the same order.
+bool fits(std::vector<Message> const& read, std::vector<Message> const& strict) {
+  if (read.size() > strict.size()) return false;
+  for (std::size_t i = 0; i < read.size(); ++i)
+    if (read[i].line != strict[i].line || read[i].fields != strict[i].fields || read[i].body != strict[i].body) return false;
+  return true;
+}
+
+std::string mutated(Dice& dice, std::vector<std::string> const& seeds) {
+  static char const* const words[] = {"\r\n", "\n", "\r", " ", "\t", ":", "0", "5", "a", ";", "\r\n ", "\r\n\r\n",
+                                      "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n", "Host: x\r\n",
+                                      "0\r\n\r\n", "GET / HTTP/1.1\r\n", "chunked", ",", "\x01", "\x7f", "\xff", "-", "+"};
+  std::string out = seeds[dice.below(seeds.size())];
+  if (dice.chance(0.3)) out += seeds[dice.below(seeds.size())];
+  for (std::uint64_t n = 1 + dice.below(4); n > 0; --n) {
+    std::size_t const at = dice.below(out.size() + 1);
+    switch (dice.below(5)) {
+      case 0:
+        out.insert(at, words[dice.below(std::size(words))]);
+        break;
+      case 1:
+        if (at < out.size()) out.erase(at, 1 + dice.below(4));
+        break;
+      case 2:
+        if (at < out.size()) out[at] = static_cast<char>(dice.below(256));
+        break;
+      case 3: {
+        std::string const part = out.substr(at, dice.below(30));
+        out.insert(dice.below(out.size() + 1), part);
+        break;
+      }
+      default:
+        if (at < out.size()) {
+          std::string const word = words[dice.below(std::size(words))];
+          out.replace(at, std::min(out.size() - at, word.size()), word);
+        }
+    }
+  }
+  return out;
+}
+
+std::vector<std::string> seeds_of_mutation() {
+  std::vector<std::string> out(std::begin(good_requests), std::end(good_requests));
+  for (Bad const& row : bad_requests())
+    if (row.text.size() < 400) out.push_back(row.text);
+  return out;
+}
+}  // namespace
+
+TEST(Reading, refuses_what_another_reader_may_take_otherwise) {
+  for (Bad const& row : bad_requests()) {
+    std::string_view const text = row.text;
+    std::vector<std::vector<std::string_view>> ways = {{text}};
+    for (std::size_t const at : {std::size_t(1), text.size() / 2, text.size() - 1})
+      ways.push_back({text.substr(0, at), text.substr(at)});
+    for (std::vector<std::string_view> const& pieces : ways) {
+      Reading const out = read_pieces(true, pieces, false, small_head, small_body);
+      EXPECT_TRUE(out.whole.empty()) << row.name << " was read as " << out.whole[0];
+      EXPECT_TRUE(out.error != Reader::Error::none || !out.between) << row.name;
+      if (!out.whole.empty()) break;
+    }
+  }
+}
+
+TEST(Reading, takes_nothing_that_a_strict_reader_would_not) {
+  std::vector<std::string> const seeds = seeds_of_mutation();
+  Dice dice(20);
+  std::size_t taken = 0;
+  for (int n = 0; n < 30000; ++n) {
+    std::string const text = mutated(dice, seeds);
+    std::vector<Message> const strict = Strict(text).whole;
+    std::string_view const view = text;
+    std::size_t const a = dice.below(text.size() + 1);
+    std::size_t const b = a + dice.below(text.size() - a + 1);
+    Reading const out = read_pieces(true, {view.substr(0, a), view.substr(a, b - a), view.substr(b)});
+    taken += out.whole.size();
+    ASSERT_TRUE(fits(out.whole, strict)) << "round " << n << "\n" << text << "\nread as " << out.whole[out.whole.size() - 1];
+    // However it is split.
+    Reading const whole = read_whole(true, text);
+    ASSERT_EQ(whole.whole, out.whole) << "round " << n << "\n" << text;
+  }
+  EXPECT_GT(taken, 3000u) << "mutations that are still good are read";
+}
+
+TEST(Reading, bounds_a_head_to_the_byte_however_it_comes) {
+  std::string const front = "GET / HTTP/1.1\r\n" + host + "X-A: ";
+  for (std::size_t const over : {std::size_t(0), std::size_t(1), std::size_t(200)}) {
+    std::size_t const most = 1000;
+    std::string const text = front + std::string(most + over - front.size() - 4, 'a') + "\r\n\r\n";
+    for (std::size_t const at : {std::size_t(0), std::size_t(1), std::size_t(500), most - 1, most, most + over - 1}) {
+      std::string_view const view = text;
+      Reading const out = read_pieces(true, {view.substr(0, at), view.substr(at)}, false, most, 100);
+      EXPECT_EQ(out.whole.size(), over == 0 ? 1u : 0u) << over << " over, split at " << at;
+      EXPECT_EQ(out.error, over == 0 ? Reader::Error::none : Reader::Error::head_large) << over << " at " << at;
+    }
+  }
+}
+
+TEST(Reading, answers_mutated_in_any_way_do_no_harm) {
+  std::vector<std::string> const seeds = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+      "HTTP/1.1 503 Busy\r\nRetry-After: 1\r\nConnection: close\r\n\r\nlater",
+      "HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+  };
+  Dice dice(21);
+  for (int n = 0; n < 10000; ++n) {
+    std::string const text = mutated(dice, seeds);
+    std::size_t const at = dice.below(text.size() + 1);
+    Reading const split = read_pieces(false, {std::string_view(text).substr(0, at), std::string_view(text).substr(at)});
+    ASSERT_EQ(split.whole, read_whole(false, text).whole) << n << "\n" << text;
+  }
+}
+
+TEST(Heads, lose_what_concerns_one_connection_only) {
+  Head head;
+  head.fields = {{"Connection", "X-One , close"}, {"x-one", "1"},       {"Keep-Alive", "timeout=5"}, {"TE", "trailers"},
+                 {"Transfer-Encoding", "chunked"}, {"content-length", "5"}, {"Host", "h"},         {"X-Two", "2"}};
+  drop_hop_fields(head);
+  EXPECT_EQ(head.fields, (std::vector<std::pair<std::string, std::string>>{{"Host", "h"}, {"X-Two", "2"}}));
+  head.set("host", "g");
+  EXPECT_EQ(head.get("HOST"), "g");
+  EXPECT_EQ(head.find("none"), nullptr);
+}
+
+namespace {
+class Serving : public testing::Test {
+ protected:
+  Serving() : server({[this](Server::Call&& call) { calls.push_back(std::move(call)); },
+                      [this](std::uint64_t id) { gone.push_back(id); }}) {
+    address = open_door([this](std::string const& at) { return server.listen(at); });
+    Server::Limits limits;
+    limits.head_most = small_head;
+    limits.body_most = small_body;
+    server.limit(limits);
+  }
+  static Head status(unsigned code) {
+    Head out;
+    out.status = code;
+    return out;
+  }
+  // Answers all that came and is not answered yet.
+  void answer_all(std::string const& body) {
+    while (answered < calls.size()) server.answer(calls[answered++].id, status(200), body);
+  }
+  Micros far_off() { return g_get_monotonic_time() + seconds(3600); }
+
+  std::vector<Server::Call> calls;
+  std::vector<std::uint64_t> gone;
+  std::size_t answered = 0;
+  std::string address;
+  Server server;
+};
+}  // namespace
+
+TEST_F(Serving, takes_calls_one_after_the_other_and_keeps_the_connection) {
+  Wire wire(address);
+  for (std::size_t n = 0; n < 3; ++n) {
+    wire.send("POST /" + std::to_string(n) + " HTTP/1.1\r\n" + host + "Content-Length: 5\r\n\r\nhello");
+    ASSERT_TRUE(until([&] { return calls.size() == n + 1; }));
+    EXPECT_EQ(calls[n].body, "hello");
+    EXPECT_EQ(calls[n].head.target, "/" + std::to_string(n));
+    answer_all("yes");
+    ASSERT_TRUE(until([&] { return count_of(wire.got, "yes") == n + 1; }));
+  }
+  EXPECT_FALSE(wire.shut);
+  EXPECT_EQ(server.connections(), 1u);
+  EXPECT_EQ(read_whole(false, wire.got).whole.size(), 3u);
+}
+
+TEST_F(Serving, gives_calls_on_whole_wherever_they_are_split) {
+  std::string const text = good_requests[2];
+  for (std::size_t at = 1; at < text.size(); ++at) {
+    Wire wire(address);
+    wire.send(std::string_view(text).substr(0, at));
+    settle();
+    wire.send(std::string_view(text).substr(at));
+    ASSERT_TRUE(until([&] { return calls.size() == at; })) << at;
+    EXPECT_EQ(calls.back().body, "hello0123456789");
+    answer_all("yes");
+    ASSERT_TRUE(until([&] { return count_of(wire.got, "yes") == 1; }));
+  }
+}
+
+TEST_F(Serving, answers_pipelined_calls_in_their_order) {
+  Wire wire(address);
+  std::string all;
+  for (int n = 0; n < 20; ++n) all += "POST /" + std::to_string(n) + " HTTP/1.1\r\n" + host + "Content-Length: 1\r\n\r\nx";
+  wire.send(all);
+  for (std::size_t n = 0; n < 20; ++n) {
+    ASSERT_TRUE(until([&] { return calls.size() == n + 1; }));
+    settle();
+    ASSERT_EQ(calls.size(), n + 1) << "the next only after the answer";
+    EXPECT_EQ(calls[n].head.target, "/" + std::to_string(n));
+    answer_all("answer " + std::to_string(n) + ".");
+  }
+  ASSERT_TRUE(until([&] { return count_of(wire.got, "answer") == 20; }));
+  std::vector<Message> const answers = read_whole(false, wire.got).whole;
+  ASSERT_EQ(answers.size(), 20u);
+  for (std::size_t n = 0; n < 20; ++n) EXPECT_EQ(answers[n].body, "answer " + std::to_string(n) + ".");
+}
+
+TEST_F(Serving, sends_heads_without_bodies_to_HEAD) {
+  Wire wire(address);
+  wire.send("HEAD /h HTTP/1.1\r\n" + host + "\r\n");
+  ASSERT_TRUE(until([&] { return calls.size() == 1; }));
+  answer_all("twelve bytes");
+  wire.send("HEAD /i HTTP/1.1\r\n" + host + "\r\n");
+  ASSERT_TRUE(until([&] { return calls.size() == 2; }));
+  server.begin(calls[1].id, status(200), -1);
+  server.piece(calls[1].id, "pieces");
+  server.end(calls[1].id);
+  ASSERT_TRUE(until([&] { return count_of(wire.got, "HTTP/1.1 200") == 2 && wire.got.ends_with("\r\n\r\n"); }));
+  EXPECT_NE(wire.got.find("Content-Length: 12"), std::string::npos);
+  EXPECT_EQ(wire.got.find("twelve"), std::string::npos);
+  EXPECT_EQ(wire.got.find("pieces"), std::string::npos);
+  EXPECT_EQ(read_pieces(false, {wire.got}, true).whole.size(), 2u);
+}
+
+TEST_F(Serving, closes_when_the_caller_asks_for_it) {
+  for (std::string const& text : {"GET / HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n", "GET / HTTP/1.0\r\n" + host + "\r\n"}) {
+    Wire wire(address);
+    wire.send(text);
+    ASSERT_TRUE(until([&] { return calls.size() > answered; }));
+    answer_all("yes");
+    ASSERT_TRUE(until([&] { return wire.shut; }));
+    EXPECT_EQ(read_whole(false, wire.got).whole.size(), 1u);
+    EXPECT_NE(wire.got.find("Connection: close"), std::string::npos);
+  }
+  EXPECT_EQ(server.connections(), 0u);
+}
+
+TEST_F(Serving, a_large_last_answer_arrives_whole) {
+  for (bool const pieces : {false, true}) {
+    Wire wire(address);
+    wire.link->hold(true);
+    wire.send("GET / HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n");
+    ASSERT_TRUE(until([&] { return calls.size() > answered; }));
+    std::string const body(32u << 20, 'z');
+    if (pieces) {
+      server.begin(calls[answered].id, status(200), -1);
+      server.piece(calls[answered].id, body);
+      server.end(calls[answered++].id);
+    } else {
+      answer_all(body);
+    }
+    settle();
+    wire.link->hold(false);
+    ASSERT_TRUE(until([&] { return wire.shut; }));
+    std::vector<Message> const answers = read_whole(false, wire.got).whole;
+    ASSERT_EQ(answers.size(), 1u) << wire.got.size() << " bytes came";
+    EXPECT_EQ(answers[0].body.size(), body.size());
+  }
+}
+
+TEST_F(Serving, pieces_go_as_they_come_and_end_with_the_answer) {
+  Wire wire(address);
+  wire.send("GET / HTTP/1.1\r\n" + host + "\r\n");
+  ASSERT_TRUE(until([&] { return calls.size() == 1; }));
+  server.begin(calls[0].id, status(200), -1);
+  for (char const* const part : {"one", "two", "three"}) {
+    server.piece(calls[0].id, part);
+    ASSERT_TRUE(until([&] { return wire.got.find(part) != std::string::npos; }));
+    EXPECT_TRUE(read_whole(false, wire.got).whole.empty());
+  }
+  server.end(calls[0].id);
+  ASSERT_TRUE(until([&] { return read_whole(false, wire.got).whole.size() == 1; }));
+  EXPECT_EQ(read_whole(false, wire.got).whole[0].body, "onetwothree");
+  EXPECT_FALSE(wire.shut);
+}
+
+TEST_F(Serving, what_breaks_off_does_not_look_whole) {
+  for (std::int64_t const length : {std::int64_t(-1), std::int64_t(100)}) {
+    Wire wire(address);
+    wire.send("GET / HTTP/1.1\r\n" + host + "\r\n");
+    ASSERT_TRUE(until([&] { return calls.size() > answered; }));
+    std::uint64_t const id = calls[answered++].id;
+    server.begin(id, status(200), length);
+    server.piece(id, "part");
+    server.break_off(id);
+    ASSERT_TRUE(until([&] { return wire.shut; }));
+    EXPECT_NE(wire.got.find("part"), std::string::npos);
+    EXPECT_TRUE(read_whole(false, wire.got).whole.empty());
+  }
+}
+
+TEST_F(Serving, says_once_when_a_caller_leaves) {
+  {
+    Wire wire(address);
+    wire.send("GET / HTTP/1.1\r\n" + host + "\r\n");
+    ASSERT_TRUE(until([&] { return calls.size() == 1; }));
+  }
+  ASSERT_TRUE(until([&] { return gone.size() == 1; }));
+  EXPECT_EQ(gone[0], calls[0].id);
+  // What is done for it afterwards goes nowhere.
+  server.begin(calls[0].id, status(200), -1);
+  server.piece(calls[0].id, "x");
+  server.end(calls[0].id);
+  server.answer(calls[0].id, status(200), "x");
+  server.break_off(calls[0].id);
+  EXPECT_EQ(server.connections(), 0u);
+  EXPECT_EQ(server.calls(), 0u);
+}
+
+TEST_F(Serving, refuses_or_closes_and_never_gives_on_what_is_malformed) {
+  for (Bad const& row : bad_requests()) {
+    Wire wire(address);
+    wire.send(row.text);
+    settle();
+    // What is only incomplete is slow, in the end.
+    server.sweep(far_off());
+    ASSERT_TRUE(until([&] { return wire.shut; })) << row.name;
+    EXPECT_TRUE(calls.empty()) << row.name << " was given on";
+    if (!wire.got.empty()) {
+      EXPECT_EQ(wire.got.substr(0, 10), "HTTP/1.1 4") << row.name << ": " << wire.got;
+    }
+    EXPECT_EQ(server.connections(), 0u) << row.name;
+    calls.clear();
+  }
+}
+
+TEST_F(Serving, malformed_bytes_after_a_good_call_do_not_touch_it) {
+  for (Bad const& row : bad_requests()) {
+    if (row.text.size() > 4000) continue;
+    Wire wire(address);
+    wire.send(good_requests[1] + row.text);
+    ASSERT_TRUE(until([&] { return calls.size() == 1; })) << row.name;
+    EXPECT_EQ(calls[0].body, "hello");
+    server.answer(calls[0].id, status(200), "yes");
+    settle();
+    server.sweep(far_off());
+    ASSERT_TRUE(until([&] { return wire.shut; })) << row.name;
+    EXPECT_EQ(calls.size(), 1u) << row.name;
+    EXPECT_EQ(wire.got.substr(0, 12), "HTTP/1.1 200") << row.name;
+    calls.clear();
+  }
+}
+
+TEST_F(Serving, mutated_calls_are_given_on_only_if_a_strict_reader_takes_them) {
+  std::vector<std::string> const seeds = seeds_of_mutation();
+  Dice dice(22);
+  for (int n = 0; n < 2500; ++n) {
+    std::string const text = mutated(dice, seeds);
+    std::vector<Message> const strict = Strict(text).whole;
+    Wire wire(address);
+    std::size_t const at = dice.below(text.size() + 1);
+    wire.send(std::string_view(text).substr(0, at));
+    settle();
+    wire.send(std::string_view(text).substr(at));
+    std::size_t done = 0;
+    for (int turns = 0; turns < 10; ++turns) {
+      settle();
+      while (done < calls.size()) server.answer(calls[done++].id, status(200), "yes");
+    }
+    server.sweep(far_off());
+    ASSERT_TRUE(until([&] { return wire.shut; })) << n << "\n" << text;
+    std::vector<Message> read;
+    for (Server::Call const& call : calls)
+      read.push_back({call.head.method + " " + call.head.target, call.head.fields, call.body});
+    ASSERT_TRUE(fits(read, strict)) << "round " << n << "\n" << text;
+    ASSERT_EQ(server.connections(), 0u);
+    calls.clear();
+  }
+}
+
+TEST_F(Serving, slow_callers_are_told_so_and_idle_ones_are_closed) {
+  Server::Limits limits;
+  limits.head_time = seconds(5);
+  limits.body_time = seconds(9);
+  limits.idle = seconds(60);
+  server.limit(limits);
+  Wire idle(address);
+  Wire heading(address);
+  Wire sending(address);
+  Wire busy(address);
+  heading.send("GET / HT");
+  sending.send("POST / HTTP/1.1\r\n" + host + "Content-Length: 5\r\n\r\nhel");
+  busy.send(good_requests[0]);
+  ASSERT_TRUE(until([&] { return calls.size() == 1; }));
+  settle();
+  Micros const now = g_get_monotonic_time();
+  server.sweep(now);
+  settle();
+  EXPECT_EQ(server.connections(), 4u);
+  server.sweep(now + seconds(6));
+  ASSERT_TRUE(until([&] { return heading.shut; }));
+  EXPECT_EQ(heading.got.substr(0, 12), "HTTP/1.1 408");
+  EXPECT_FALSE(sending.shut);
+  server.sweep(now + seconds(10));
+  ASSERT_TRUE(until([&] { return sending.shut; }));
+  EXPECT_EQ(sending.got.substr(0, 12), "HTTP/1.1 408");
+  EXPECT_FALSE(idle.shut);
+  server.sweep(now + seconds(70));
+  ASSERT_TRUE(until([&] { return idle.shut; }));
+  EXPECT_EQ(idle.got, "");
+  settle();
+  EXPECT_FALSE(busy.shut) << "a call that is being answered may take its time";
+  answer_all("yes");
+  ASSERT_TRUE(until([&] { return !busy.got.empty(); }));
+  EXPECT_EQ(calls.size(), 1u);
+}
+
+TEST_F(Serving, at_the_end_idle_connections_close_and_answers_are_the_last) {
+  Wire idle(address);
+  Wire busy(address);
+  busy.send(good_requests[0]);
+  ASSERT_TRUE(until([&] { return calls.size() == 1 && server.connections() == 2; }));
+  server.closing();
+  server.stop_listening();
+  server.close_idle();
+  ASSERT_TRUE(until([&] { return idle.shut; }));
+  answer_all("yes");
+  ASSERT_TRUE(until([&] { return busy.shut; }));
+  EXPECT_NE(busy.got.find("Connection: close"), std::string::npos);
+  EXPECT_NE(busy.got.find("yes"), std::string::npos);
+  Wire late(address);
+  EXPECT_TRUE(late.shut);
+  EXPECT_EQ(late.how, Link::End::unreached);
+}
+
+TEST_F(Serving, a_caller_that_sends_ahead_without_end_is_held) {
+  Wire wire(address);
+  wire.send(good_requests[0]);
+  ASSERT_TRUE(until([&] { return calls.size() == 1; }));
+  wire.send(std::string(64u << 20, 'x'));
+  settle();
+  EXPECT_GT(wire.link->waiting(), 16u << 20) << "it is not all read into memory";
+  answer_all("yes");
+  ASSERT_TRUE(until([&] { return wire.shut; }));
+  EXPECT_EQ(calls.size(), 1u);
+}
+
+namespace {
+// A worker made of sockets, and what is heard of the connections to it.
+class Workerly : public testing::Test {
+ protected:
+  struct End {
+    std::uint64_t id;
+    Upstream::End how;
+  };
+  Workerly()
+      : upstream({[this](std::uint64_t id) { left.push_back(id); },
+                  [this](std::uint64_t id, Head const& head) {
+                    heads.push_back(head);
+                    return head.status >= 200 && (head.find("X-Id") == nullptr || head.get("X-Id") == std::to_string(id));
+                  },
+                  [this](std::uint64_t id, std::string_view bytes) { bodies[id].append(bytes); },
+                  [this](std::uint64_t id) { done.push_back(id); },
+                  [this](std::uint64_t id, Upstream::End how, std::string const&) { ends.push_back({id, how}); }},
+                 "") {
+    address = open_door([this](std::string const& at) {
+      return door.open(at, [this](std::shared_ptr<Link> link) { wires.push_back(std::make_unique<Wire>(std::move(link))); });
+    });
+  }
+  static std::string request(std::string const& method = "POST") {
+    return method + " / HTTP/1.1\r\n" + host + (method == "POST" ? "Content-Length: 2\r\n\r\nhi" : "\r\n");
+  }
+  // Starts a request and waits until the worker has it; the wire that it came on.
+  Wire& start(std::uint64_t id, std::string const& method = "POST") {
+    std::size_t seen = 0;
+    for (std::unique_ptr<Wire> const& wire : wires) seen += count_of(wire->got, "HTTP/1.1\r\n");
+    upstream.start(id, "w", address, request(method), seconds(10));
+    Wire* found = nullptr;
+    EXPECT_TRUE(until([&] {
+      std::size_t now = 0;
+      for (std::unique_ptr<Wire> const& wire : wires) now += count_of(wire->got, "HTTP/1.1\r\n");
+      return now > seen;
+    }));
+    for (std::unique_ptr<Wire> const& wire : wires)
+      if (!wire->shut && !wire->got.empty()) found = wire.get();
+    EXPECT_NE(found, nullptr);
+    return *found;
+  }
+  bool over() {
+    return until([this] { return done.size() + ends.size() > 0; });
+  }
+  void forget() {
+    left.clear();
+    heads.clear();
+    bodies.clear();
+    done.clear();
+    ends.clear();
+  }
+
+  std::vector<std::uint64_t> left;
+  std::vector<Head> heads;
+  std::map<std::uint64_t, std::string> bodies;
+  std::vector<std::uint64_t> done;
+  std::vector<End> ends;
+  std::vector<std::unique_ptr<Wire>> wires;
+  std::string address;
+  Door door;
+  Upstream upstream;
+};
+std::string const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+}  // namespace
+
+TEST_F(Workerly, answers_arrive_wherever_they_are_split_and_the_connection_is_kept) {
+  std::string const text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+  for (std::size_t at = 1; at < text.size(); ++at) {
+    Wire& wire = start(at);
+    EXPECT_EQ(left, std::vector<std::uint64_t>{at});
+    wire.send(std::string_view(text).substr(0, at));
+    settle();
+    EXPECT_TRUE(done.empty());
+    wire.send(std::string_view(text).substr(at));
+    ASSERT_TRUE(over());
+    EXPECT_EQ(done, std::vector<std::uint64_t>{at});
+    EXPECT_EQ(bodies[at], "abcde");
+    forget();
+  }
+  EXPECT_EQ(upstream.dialled, 1u);
+  EXPECT_EQ(upstream.reused, text.size() - 2);
+  EXPECT_EQ(upstream.kept("w"), 1u);
+}
+
+TEST_F(Workerly, an_answer_to_HEAD_has_no_body) {
+  Wire& wire = start(1, "HEAD");
+  wire.send("HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n");
+  settle();
+  ASSERT_EQ(done.size(), 1u);
+  EXPECT_EQ(upstream.kept("w"), 1u);
+  start(2).send(ok);
+  forget();
+  ASSERT_TRUE(over());
+  EXPECT_EQ(done, std::vector<std::uint64_t>{2});
+  EXPECT_EQ(bodies[2], "ok");
+}
+
+TEST_F(Workerly, surplus_bytes_end_the_connection_not_the_answer) {
+  start(1).send(ok + "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nstolen");
+  ASSERT_TRUE(over());
+  EXPECT_EQ(done, std::vector<std::uint64_t>{1});
+  EXPECT_EQ(bodies[1], "ok");
+  EXPECT_EQ(upstream.kept("w"), 0u);
+  EXPECT_EQ(upstream.connections(), 0u);
+}
+
+TEST_F(Workerly, bytes_that_come_on_a_kept_connection_end_it) {
+  Wire& wire = start(1);
+  wire.send(ok);
+  ASSERT_TRUE(over());
+  EXPECT_EQ(upstream.kept("w"), 1u);
+  wire.send("HTTP/1.1 200 OK\r\n");
+  ASSERT_TRUE(until([&] { return wire.shut; }));
+  EXPECT_EQ(upstream.kept("w"), 0u);
+  forget();
+  start(2).send(ok);
+  ASSERT_TRUE(over());
+  EXPECT_EQ(done, std::vector<std::uint64_t>{2});
+  EXPECT_EQ(upstream.dialled, 2u);
+}
+
+TEST_F(Workerly, an_answer_to_somebody_else_is_passed_over) {
+  std::string const strange = "HTTP/1.1 200 OK\r\nX-Id: 77\r\nContent-Length: 6\r\n\r\nstolen";
+  for (bool const together : {true, false}) {
+    forget();
+    Wire& wire = start(1);
+    std::string const mine = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok";
+    if (together) {
+      wire.send(strange + mine);
+    } else {
+      wire.send(strange);
+      settle();
+      EXPECT_TRUE(done.empty() && ends.empty());
+      wire.send(mine);
+    }
+    ASSERT_TRUE(over());
+    EXPECT_EQ(done, std::vector<std::uint64_t>{1});
+    EXPECT_EQ(bodies[1], "ok");
+  }
+  forget();
+  // Only so many, and none that is the last of its connection.
+  Wire& wire = start(2);
+  for (int i = 0; i < 10; ++i) wire.send(strange);
+  ASSERT_TRUE(over());
+  ASSERT_EQ(ends.size(), 1u);
+  EXPECT_EQ(ends[0].how, Upstream::End::broke);
+  EXPECT_EQ(bodies.count(2), 0u);
+  forget();
+  start(3).send("HTTP/1.1 200 OK\r\nX-Id: 77\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx");
+  ASSERT_TRUE(over());
+  ASSERT_EQ(ends.size(), 1u);
+  EXPECT_EQ(ends[0].how, Upstream::End::broke);
+}
+
+TEST_F(Workerly, interim_answers_are_passed_over) {
+  start(1).send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok);
+  ASSERT_TRUE(over());
+  EXPECT_EQ(done, std::vector<std::uint64_t>{1});
+  EXPECT_EQ(bodies[1], "ok");
+}
+
+TEST_F(Workerly, a_connection_that_ends_early_tells_how_far_it_came) {
+  struct Row {
+    char const* name;
+    std::string text;
+    Upstream::End how;
+  };
+  Row const rows[] = {
+      {"at once", "", Upstream::End::broke},
+      {"in the head", "HTTP/1.1 200 OK\r\nConte", Upstream::End::broke},
+      {"after an interim answer", "HTTP/1.1 100 Continue\r\n\r\n", Upstream::End::broke},
+      {"in a body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", Upstream::End::torn},
+      {"before a body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", Upstream::End::torn},
+      {"in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", Upstream::End::torn},
+      {"between chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", Upstream::End::torn},
+      {"before the last mark", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n", Upstream::End::torn},
+      {"in somebody else's", "HTTP/1.1 200 OK\r\nX-Id: 77\r\nContent-Length: 9\r\n\r\nabc", Upstream::End::broke},
+  };
+  for (bool const reset : {false, true})
+    for (Row const& row : rows) {
+      forget();
+      Wire& wire = start(1);
+      wire.send(row.text);
+      settle();
+      wire.link->close(reset);
+      wire.shut = true;
+      ASSERT_TRUE(over()) << row.name;
+      ASSERT_EQ(ends.size(), 1u) << row.name;
+      EXPECT_EQ(ends[0].how, row.how) << row.name;
+      EXPECT_TRUE(done.empty());
+      EXPECT_EQ(upstream.connections(), 0u);
+    }
+}
+
+TEST_F(Workerly, an_answer_without_length_ends_with_its_connection_unless_that_is_reset) {
+  for (bool const reset : {false, true}) {
+    forget();
+    Wire& wire = start(1);
+    wire.send("HTTP/1.1 200 OK\r\n\r\nabc");
+    ASSERT_TRUE(until([&] { return bodies[1] == "abc"; }));
+    wire.link->close(reset);
+    wire.shut = true;
+    ASSERT_TRUE(over());
+    EXPECT_EQ(done.size(), reset ? 0u : 1u);
+    EXPECT_EQ(ends.size(), reset ? 1u : 0u);
+    EXPECT_EQ(upstream.kept("w"), 0u);
+  }
+}
+
+TEST_F(Workerly, what_is_no_answer_breaks_the_request) {
+  for (std::string const text : {"nonsense\r\n\r\n", "HTTP/1.1 abc\r\n\r\n", "GET / HTTP/1.1\r\n\r\n",
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"}) {
+    forget();
+    start(1).send(text);
+    ASSERT_TRUE(over()) << text;
+    ASSERT_EQ(ends.size(), 1u) << text;
+    EXPECT_EQ(ends[0].how, Upstream::End::broke);
+  }
+  forget();
+  start(1).send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n");
+  ASSERT_TRUE(over());
+  ASSERT_EQ(ends.size(), 1u);
+  EXPECT_EQ(ends[0].how, Upstream::End::torn);
+}
+
+TEST_F(Workerly, a_kept_connection_that_the_worker_closed_is_not_used_again) {
+  for (bool const reset : {false, true}) {
+    forget();
+    Wire& wire = start(1);
+    wire.send(ok);
+    ASSERT_TRUE(over());
+    EXPECT_EQ(upstream.kept("w"), 1u);
+    wire.link->close(reset);
+    wire.shut = true;
+    ASSERT_TRUE(until([&] { return upstream.kept("w") == 0; }));
+    forget();
+    Wire& next = start(2);
+    next.send(ok);
+    ASSERT_TRUE(over());
+    EXPECT_EQ(done, std::vector<std::uint64_t>{2});
+    EXPECT_TRUE(ends.empty());
+    next.link->close();
+    next.shut = true;
+    ASSERT_TRUE(until([&] { return upstream.kept("w") == 0; }));
+  }
+  EXPECT_EQ(upstream.reused, 0u);
+}
+
+TEST_F(Workerly, a_worker_that_cannot_be_reached_got_nothing) {
+  for (std::string const& bad : {free_address(), std::string("nonsense"), std::string("127.0.0.1:0")}) {
+    forget();
+    upstream.start(1, "w", bad, request(), seconds(10));
+    ASSERT_TRUE(over()) << bad;
+    ASSERT_EQ(ends.size(), 1u);
+    EXPECT_EQ(ends[0].how, Upstream::End::unreached);
+    EXPECT_TRUE(left.empty()) << "no byte can have left";
+    EXPECT_EQ(upstream.connections(), 0u);
+  }
+}
+
+TEST_F(Workerly, keep_alive_times_are_heeded) {
+  struct Row {
+    char const* fields;
+    Micros least;  // it is still kept then; -1: not at all
+    Micros most;   // and then no more
+  };
+  Row const rows[] = {
+      {"", seconds(1), seconds(30)},
+      {"Keep-Alive: timeout=2\r\n", seconds(1), seconds(2)},
+      {"Keep-Alive: max=9, timeout=2\r\n", seconds(1), seconds(2)},
+      {"Keep-Alive: timeout=0\r\n", -1, 0},
+      {"Keep-Alive: timeout=100000\r\n", seconds(10), seconds(60)},
+      {"Keep-Alive: timeout=99999999999999999999\r\n", seconds(10), seconds(60)},
+      {"Keep-Alive: timeout=-5\r\n", -1, 0},
+      {"Keep-Alive: timeout=soon\r\n", -1, 0},
+      {"Connection: close\r\n", -1, 0},
+  };
+  for (Row const& row : rows) {
+    forget();
+    start(1).send("HTTP/1.1 200 OK\r\n" + std::string(row.fields) + "Content-Length: 2\r\n\r\nok");
+    ASSERT_TRUE(over()) << row.fields;
+    Micros const now = g_get_monotonic_time();
+    EXPECT_EQ(upstream.kept("w"), row.least >= 0 ? 1u : 0u) << row.fields;
+    if (row.least < 0) continue;
+    upstream.sweep(now + row.least);
+    EXPECT_EQ(upstream.kept("w"), 1u) << row.fields;
+    upstream.sweep(now + row.most);
+    EXPECT_EQ(upstream.kept("w"), 0u) << row.fields;
+    settle();
+  }
+}
+
+TEST_F(Workerly, connections_belong_to_a_name_and_an_address) {
+  start(1).send(ok);
+  ASSERT_TRUE(over());
+  forget();
+  upstream.start(2, "v", address, request(), seconds(10));
+  ASSERT_TRUE(until([&] { return left.size() == 1; }));
+  EXPECT_EQ(upstream.reused, 0u) << "somebody else may live there now";
+  upstream.cut(2);
+  EXPECT_EQ(upstream.kept("w"), 1u);
+  upstream.forget("w");
+  EXPECT_EQ(upstream.connections(), 0u);
+  upstream.forget("nobody");
+}
+
+TEST_F(Workerly, what_was_cut_is_heard_of_no_more) {
+  Wire& wire = start(1);
+  wire.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+  ASSERT_TRUE(until([&] { return bodies[1] == "abc"; }));
+  upstream.cut(1);
+  upstream.cut(1);
+  wire.send("defghi");
+  ASSERT_TRUE(until([&] { return wire.shut; }));
+  EXPECT_TRUE(done.empty());
+  EXPECT_TRUE(ends.empty());
+  EXPECT_EQ(bodies[1], "abc");
+  EXPECT_EQ(upstream.open(), 0u);
+}
+
+TEST_F(Workerly, mutated_answers_end_each_request_once_and_do_no_harm) {
+  std::vector<std::string> const seeds = {
+      ok, ok + ok, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX-Id: 77\r\nContent-Length: 1\r\n\r\nx" + ok, "HTTP/1.1 100 Continue\r\n\r\n" + ok,
+      "HTTP/1.1 204 No\r\nKeep-Alive: timeout=9\r\n\r\n", "HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"};
+  Dice dice(23);
+  for (std::uint64_t id = 1; id <= 1500; ++id) {
+    forget();
+    Wire& wire = start(id);
+    std::string const text = mutated(dice, seeds);
+    std::size_t const at = dice.below(text.size() + 1);
+    wire.send(std::string_view(text).substr(0, at));
+    settle();
+    wire.send(std::string_view(text).substr(at));
+    settle();
+    if (!wire.shut) wire.link->close(dice.chance(0.5));
+    wire.shut = true;
+    ASSERT_TRUE(over()) << id << "\n" << text;
+    settle();
+    ASSERT_EQ(done.size() + ends.size(), 1u) << id << "\n" << text;
+    ASSERT_EQ(upstream.open(), 0u);
+    ASSERT_EQ(left.size(), 1u);
+    upstream.forget("w");
+    settle();
+    wires.clear();
+  }
+}
+
+}  // namespace pipit
