Link: what waits when it finishes is sent, whoever still holds the link

Cause: finish() left the rest to a link that its last holder dropped in the same breath, so a large answer that closes its connection was cut; and a peer that ended its own side cut it too. Test: Serving.a_large_last_answer_arrives_whole.

--- a/src/gate/net/link.cc
+++ b/src/gate/net/link.cc
@@ -16,6 +16,7 @@
 
 namespace {
 constexpr int silence_ms = 8000;  // for how long sent bytes may stay unacknowledged
+constexpr unsigned finish_ms = 30000;  // for how long a peer may take what is left for it
 constexpr std::size_t room = 65536;
 
 bool address_of(std::string const& text, sockaddr_in& out) {
@@ -104,6 +105,7 @@
 Link::~Link() { close(); }
 
 void Link::close(bool reset) {
+  std::shared_ptr<Link> const keep = std::move(own);
   if (timer != 0) g_source_remove(timer);
   timer = 0;
   if (source != nullptr) {
@@ -124,6 +126,7 @@
 
 void Link::end(End how) {
   if (fd < 0) return;
+  std::shared_ptr<Link> const keep = std::move(own);
   std::function<void(End)> const say = std::move(ears.shut);
   close();
   ears = {};
@@ -220,12 +223,22 @@
 void Link::finish() {
   if (fd < 0) return;
   last = true;
-  if (waiting() > 0) {
-    // What still comes is not read any more; the peer's end of it does not matter.
-    ears.bytes = nullptr;
-    return;
-  }
-  end(End::closed);
+  if (waiting() == 0) return end(End::closed);
+  if (own) return;
+  // What still comes is not read any more; the peer's end of it does not matter.
+  ears.bytes = nullptr;
+  own = shared_from_this();
+  if (timer != 0) g_source_remove(timer);
+  timer = g_timeout_add(
+      finish_ms,
+      [](gpointer self) -> gboolean {
+        std::shared_ptr<Link> const link = static_cast<Link*>(self)->own;
+        link->timer = 0;
+        link->end(End::reset);
+        return G_SOURCE_REMOVE;
+      },
+      this);
+  hold(true);
 }
 
 Result<void> Door::open(std::string const& address, Taken taken_) {
--- a/src/gate/net/link.h
+++ b/src/gate/net/link.h
@@ -37,7 +37,7 @@
   void hold(bool held_);
   // Closes without a word to the ears. A reset tells the peer that what it got is not whole.
   void close(bool reset = false);
-  // Closes once everything written has been taken.
+  // Closes once everything written has been taken, whoever still holds the link; the peer has a while for that.
   void finish();
   bool open() const { return fd >= 0; }
   bool connected() const { return state == State::up; }
@@ -61,6 +61,7 @@
   unsigned asked = 0;
   bool held = false;
   bool last = false;
+  std::shared_ptr<Link> own;  // while it finishes
   std::string out;
   std::size_t gone = 0;
   Ears ears;
