Upstream: an answer to HEAD has no body; odd keep-alive times are bounded

Cause: after a HEAD the reader waited for the body that its answer announces, so each HEAD ended as torn at its deadline; a huge timeout overflowed in microseconds. Tests: Workerly.an_answer_to_HEAD_has_no_body, Workerly.keep_alive_times_are_heeded.

--- a/src/gate/net/upstream.cc
+++ b/src/gate/net/upstream.cc
@@ -15,7 +15,7 @@
 Micros keep_time(std::string const& text) {
   std::size_t const at = text.find("timeout=");
   if (at == std::string::npos) return seconds(4);
-  Micros const told = seconds(std::strtoll(text.c_str() + at + 8, nullptr, 10));
+  Micros const told = seconds(std::clamp<std::int64_t>(std::strtoll(text.c_str() + at + 8, nullptr, 10), 0, 3600));
   // The worker counts from when it sent the end; some way and some slack are taken off.
   return std::min(keep_most, told - millis(300));
 }
@@ -29,6 +29,7 @@
   std::uint64_t id = 0;  // of the request that it carries, 0 when it is kept
   std::string bytes;
   bool sent = false;
+  bool bodiless = false;  // it asks for a head alone
   bool ours = false;  // the answer that is being read is the one that was asked for
   int surplus = 0;
   bool keep = true;
@@ -88,7 +89,7 @@
     conn->ours = ears.head(conn->id, head);
     conn->keep = head.keep;
     conn->keep_for = keep_time(head.get("Keep-Alive"));
-    return true;
+    return !(conn->ours && conn->bodiless);
   };
   conn->reader.ears.body = [this, conn](std::string_view part) {
     if (conn->ours && conn->id != 0) ears.body(conn->id, part);
@@ -116,6 +117,7 @@
   conn.sent = true;
   conn.ours = false;
   conn.surplus = 0;
+  conn.bodiless = conn.bytes.starts_with("HEAD ");
   std::string const bytes = std::move(conn.bytes);
   conn.bytes.clear();
   // Said before the system takes the first byte: from here on nobody can know.
