--- a/tests/platform.cc
+++ b/tests/platform.cc
@@ -291,7 +291,8 @@
         "{\"version\":5,\"remove\":7}", "{\"version\":5,\"remove\":{\"routes\":\"chat\"}}",
         "{\"version\":5,\"remove\":{\"routes\":[1]}}", "{\"version\":5,\"upsert\":{\"routes\":[1]}}",
         "{\"version\":5,\"upsert\":{\"routes\":[{\"host\":\"x\"}]}}", "{\"version\":5,\"remove\":{\"services\":[\"small\"]}}",
-        "{\"version\":5,\"upsert\":{\"limits\":[{\"name\":\"x\"}]}}"}) {
+        "{\"version\":5,\"upsert\":{\"limits\":[{\"name\":\"x\"}]}}", "{\"version\":5,\"upsert\":{\"routes\":7}}",
+        "{\"version\":5,\"upsert\":{\"routes\":{}}}", "{\"version\":5,\"upsert\":{\"labels\":[{\"name\":\"x\"}]}}"}) {
     Result<Configuration> const made = amended(base, bad);
     ASSERT_FALSE(made) << bad;
     EXPECT_EQ(answer_for(made.error()).status, 400u) << bad << ": " << made.error().why;
