Routes: the place that a prefix names is under it too

Cause: an operator's /v1/chat became the prefix /v1/chat/, which the path /v1/chat itself does not begin with; such a request went to a shorter prefix or to nobody. Test: Desks.the_longest_prefix_of_the_host_takes_a_request.

--- a/src/canon/creed/creed.cc
+++ b/src/canon/creed/creed.cc
@@ -140,7 +140,9 @@
 Route const* Creed::route(std::string_view host, std::string_view path) const {
   Route const* best = nullptr;
   for (Route const& item : routes) {
-    if (path.substr(0, item.prefix.size()) != item.prefix) continue;
+    // The place that a prefix names is under it too: "/v1/chat" under "/v1/chat/".
+    std::string_view const stem = std::string_view(item.prefix).substr(0, item.prefix.size() - 1);
+    if (path.substr(0, stem.size()) != stem || (path.size() > stem.size() && path[stem.size()] != '/')) continue;
     if (best != nullptr && best->prefix.size() >= item.prefix.size()) continue;
     if (item.host.size() != host.size() ||
         !std::equal(host.begin(), host.end(), item.host.begin(), [](char a, char b) {
