Registry: leaving is not taken back by a peer's entry

Cause: a beat that went to a node which had not heard of the leaving wrote an entry with a higher order, and that made the worker serve again here, though a beat to this node could not. Test: Workers.leaving_is_not_taken_back_by_a_peer_that_missed_it.

--- a/src/flow/registry/registry.cc
+++ b/src/flow/registry/registry.cc
@@ -97,9 +97,11 @@
     item.known = now;
     item.standing = said;
     tell(Event::worker_joined, entry.key + " at " + entry.address);
-  } else if (entry.incarnation < item.order && item.standing != Standing::serving && said == Standing::serving &&
-             guard(Guard::local_veto)) {
-    // It knows less than this node: said again, with a later stamp, so that the others hear it too (§12.3).
+  } else if ((entry.incarnation < item.order || item.standing == Standing::leaving) &&
+             item.standing != Standing::serving && said == Standing::serving && guard(Guard::local_veto)) {
+    // It knows less than this node: said again, with a later stamp, so that the others hear it too (§12.3). An end that
+    // the worker announced is not taken back, whoever took its last beat.
+    item.order = std::max(item.order, entry.incarnation);
     return entry_of(item);
   }
   item.address = entry.address;
