Registry: the mark of a worker that is gone is kept from when it went

Cause: the span was counted from when the worker became known, so that a node which had known it for a minute dropped the mark at once, and a late beat brought it back. Test: Workers.a_farewell_is_remembered_for_a_while_wherever_it_was_heard.

--- a/src/flow/registry/registry.cc
+++ b/src/flow/registry/registry.cc
@@ -40,6 +40,7 @@
       tell(Event::worker_leaving, instance.id);
       break;
     case Standing::gone:
+      instance.known = now;  // its mark is kept for a while from here on
       tell(Event::worker_gone, instance.id);
       ended.push_back(instance.id);
       break;
--- a/src/flow/registry/registry.h
+++ b/src/flow/registry/registry.h
@@ -32,7 +32,7 @@
   std::uint64_t order = 0;
   std::string owner;      // the node that took its last word that said something new
   Micros heard = -1;      // when this node took a beat; -1 for never
-  Micros known = 0;       // since when it stands here
+  Micros known = 0;       // since when it stands here, or is gone
   Micros doubted = -1;    // since when a broken or silent connection speaks against it
   Micros shunned = -1;    // until when it gets nothing while others are there
   int faults = 0;         // in a row
