Registry: a worker that is shunned for being full can be doubted

Cause: whether a doubt is news was read off the shunning, which a declined request sets too; a connection that broke right after one was told to nobody. Test: Desks.a_worker_that_breaks_while_it_is_shunned_for_being_full_is_doubted_all_the_same.

--- a/src/flow/registry/registry.cc
+++ b/src/flow/registry/registry.cc
@@ -146,7 +146,7 @@
 bool Registry::doubt(std::string const& id, Micros now) {
   Instance* const item = find(id);
   if (item == nullptr) return false;
-  if (item->shunned > now) return false;
+  if (item->doubted >= 0 && item->shunned > now) return false;  // shunned for being full is no doubt
   ++item->faults;
   item->doubted = now;
   item->shunned = now + std::min<Micros>(shun_most, shun_first << std::min(item->faults - 1, 4));
