Dispatcher: no answer is cut for its silence where nobody could go on with it

Cause: a worker that paused was given up for every request that may repeat, also when its answer had begun and is no stream that may go on elsewhere, or when no time was left for another worker: the caller got a broken answer or a refusal instead of a late one. Tests: Desks.an_answer_that_cannot_go_on_elsewhere_is_not_cut_for_a_pause, Desks.what_a_silent_worker_has_is_not_given_up_when_there_is_no_time_for_another.

--- a/src/flow/dispatch/dispatcher.cc
+++ b/src/flow/dispatch/dispatcher.cc
@@ -12,6 +12,7 @@
 namespace {
 constexpr Micros way_back = millis(25);      // of the caller's time, for the answer's way
 constexpr Micros dial_most = millis(350);    // for opening a connection to a worker
+constexpr Micros time_least = millis(60);    // with less left, no other worker is tried
 constexpr int dials_most = 4;
 // §12.5: what a first event takes on a worker that is free, and for each token that has to be read. Learnt figures
 // take their place; these begin.
@@ -304,7 +305,7 @@
   traits.resumable = request.route->streams && request.route->resumable;
   traits.attempts = request.sends < request.route->attempts;
   traits.budget = can_pay(*request.pool);
-  traits.time = now + millis(60) < request.due && request.dials < dials_most;
+  traits.time = now + time_least < request.due && request.dials < dials_most;
   traits.ran = request.ran;
   Fate const fate = fate_of(traits, reach, end);
   if (!clean && reach != Reach::none) request.ran = true;
@@ -387,6 +388,9 @@
       continue;
     }
     if (!request.repeatable || request.reach == Reach::none || held) continue;
+    // What has begun and cannot go on elsewhere is waited for, as is anything once another worker would come too late.
+    if (request.begun && !(request.route->streams && request.route->resumable)) continue;
+    if (now + time_least >= request.due || request.dials >= dials_most) continue;
     // A stream that may go on elsewhere does not wait for a worker that has fallen silent (§12.5).
     Instance const* const at = registry.find(request.at);
     Micros const quiet = now - request.heard;
