Dispatcher: a node's store of re-sends holds no more than its part

Cause: every node could save up eight more re-sends than its part of the store, so that in a short window the sum over all nodes passed the bound. Test: Budgets.hold_over_all_nodes_in_every_window.

--- a/src/flow/dispatch/dispatcher.cc
+++ b/src/flow/dispatch/dispatcher.cc
@@ -78,7 +78,7 @@
     out.known = true;
     out.level = most;
   }
-  out.level = std::min(out.level, most + 8);
+  out.level = std::min(out.level, most);
   return out;
 }
 
