--- a/tests/dispatcher.cc
+++ b/tests/dispatcher.cc
@@ -615,6 +615,7 @@
   std::vector<std::uint64_t> open;
   for (int turn = 0; turn < 40000; ++turn) {
     now += static_cast<Micros>(dice.below(static_cast<std::uint64_t>(millis(6))));
+    if (dice.chance(0.003)) now += millis(900);  // nothing is heard of anybody for a while
     DispatchOut out;
     std::uint64_t const what = dice.below(100);
     if (what < 12 && next < 2500) {
