--- a/tests/http.cc
+++ b/tests/http.cc
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <stdexcept>
 
 #include "gate/net/server.h"
 #include "gate/net/upstream.h"
@@ -927,7 +928,7 @@
     }));
     for (std::unique_ptr<Wire> const& wire : wires)
       if (!wire->shut && !wire->got.empty()) found = wire.get();
-    EXPECT_NE(found, nullptr);
+    if (found == nullptr) throw std::runtime_error("the request did not arrive");
     return *found;
   }
   bool over() {
@@ -1137,6 +1138,37 @@
   EXPECT_EQ(upstream.reused, 0u);
 }
 
+TEST_F(Workerly, a_kept_connection_is_looked_at_before_it_is_used) {
+  // What the worker did to it has reached this machine, but the loop has not turned since.
+  for (int way = 0; way < 3; ++way) {
+    forget();
+    Wire& wire = start(1);
+    wire.send(ok);
+    ASSERT_TRUE(over());
+    ASSERT_EQ(upstream.kept("w"), 1u);
+    std::uint64_t const dialled = upstream.dialled;
+    forget();
+    if (way == 0) {
+      wire.link->close();
+    } else if (way == 1) {
+      wire.link->close(true);
+    } else {
+      wire.send("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nstolen");
+    }
+    wire.shut = true;
+    Wire& next = start(2);
+    EXPECT_EQ(upstream.dialled, dialled + 1);
+    next.send(ok);
+    ASSERT_TRUE(over());
+    EXPECT_EQ(done, std::vector<std::uint64_t>{2});
+    EXPECT_EQ(left, std::vector<std::uint64_t>{2});
+    EXPECT_EQ(bodies[2], "ok");
+    next.link->close();
+    next.shut = true;
+    ASSERT_TRUE(until([&] { return upstream.kept("w") == 0; }));
+  }
+}
+
 TEST_F(Workerly, a_worker_that_cannot_be_reached_got_nothing) {
   for (std::string const& bad : {free_address(), std::string("nonsense"), std::string("127.0.0.1:0")}) {
     forget();
