Upstream: a kept connection is looked at before it is used

Cause: an end, or surplus bytes, that had reached this machine but not yet the loop was noticed only after the next request had been written, and what may not repeat was lost with it. Test: Workerly.a_kept_connection_is_looked_at_before_it_is_used.

--- a/src/gate/net/link.cc
+++ b/src/gate/net/link.cc
@@ -184,6 +184,13 @@
   }
 }
 
+bool Link::quiet() const {
+  if (fd < 0 || state != State::up) return false;
+  char byte = 0;
+  ssize_t const n = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+}
+
 void Link::write(std::string_view bytes) {
   if (fd < 0) return;
   if (state == State::up && waiting() == 0) {
--- a/src/gate/net/link.h
+++ b/src/gate/net/link.h
@@ -41,6 +41,8 @@
   void finish();
   bool open() const { return fd >= 0; }
   bool connected() const { return state == State::up; }
+  // Open, and nothing has come that is still to be read, not even its end.
+  bool quiet() const;
 
  private:
   enum class State : std::uint8_t { dialling, up, shut };
--- a/src/gate/net/upstream.cc
+++ b/src/gate/net/upstream.cc
@@ -62,7 +62,8 @@
   while (list != idle.end() && !list->second.empty()) {
     Conn* const conn = list->second.back();
     std::shared_ptr<Conn> const hold = conns[conn];
-    if (conn->address != address || now() - conn->idle_since > conn->keep_for) {
+    // What may not repeat is lost on a connection that the worker has just closed.
+    if (conn->address != address || now() - conn->idle_since > conn->keep_for || !conn->link->quiet()) {
       bool const only = list->second.size() == 1;
       erase(*conn);
       if (only) break;
