--- a/tests/http.cc
+++ b/tests/http.cc
@@ -744,6 +744,37 @@
   }
 }
 
+TEST_F(Serving, an_answer_that_falls_short_of_its_length_does_not_look_whole) {
+  Wire wire(address);
+  wire.send("GET / HTTP/1.1\r\n" + host + "\r\n");
+  ASSERT_TRUE(until([&] { return calls.size() == 1; }));
+  server.begin(calls[0].id, status(200), 100);
+  server.piece(calls[0].id, "part");
+  server.end(calls[0].id);
+  ASSERT_TRUE(until([&] { return wire.shut; }));
+  EXPECT_TRUE(read_whole(false, wire.got).whole.empty());
+}
+
+TEST_F(Serving, answers_that_have_no_body_end_with_their_head) {
+  Wire wire(address);
+  std::size_t n = 0;
+  for (unsigned const code : {204u, 304u})
+    for (std::int64_t const length : {std::int64_t(-1), std::int64_t(0), std::int64_t(9)}) {
+      wire.send("GET / HTTP/1.1\r\n" + host + "\r\n");
+      ASSERT_TRUE(until([&] { return calls.size() == n + 1; }));
+      server.begin(calls[n].id, status(code), length);
+      server.end(calls[n].id);
+      ++n;
+      ASSERT_TRUE(until([&] { return count_of(wire.got, "HTTP/1.1 ") == n && wire.got.ends_with("\r\n\r\n"); }));
+      settle();
+      Reading const answers = read_whole(false, wire.got);
+      EXPECT_EQ(answers.error, Reader::Error::none) << code << " " << length;
+      EXPECT_EQ(answers.whole.size(), n) << code << " " << length;
+      EXPECT_FALSE(wire.shut);
+    }
+  EXPECT_EQ(wire.got.find("Transfer-Encoding"), std::string::npos);
+}
+
 TEST_F(Serving, says_once_when_a_caller_leaves) {
   {
     Wire wire(address);
