Server: an answer ends where its status and its announced length say

Cause: 204 and 304 were framed like any answer, so a stream's route sent the bytes of an empty chunked body that nobody reads as such; an answer shorter than announced left its connection open for the next one to fill up. Tests: Serving.answers_that_have_no_body_end_with_their_head, Serving.an_answer_that_falls_short_of_its_length_does_not_look_whole.

--- a/src/gate/net/http.cc
+++ b/src/gate/net/http.cc
@@ -87,9 +87,10 @@
   std::string out = "HTTP/1.1 " + std::to_string(head.status) + " " +
                     (head.reason.empty() ? reason_of(head.status) : head.reason.c_str()) + "\r\n";
   put_fields(out, head);
-  if (length >= 0)
+  // Only 304 may say how long the body would have been.
+  if (length >= 0 && (!bodiless(head.status) || head.status == 304))
     out += "Content-Length: " + std::to_string(length) + "\r\n";
-  else
+  else if (!bodiless(head.status))
     out += "Transfer-Encoding: chunked\r\n";
   if (close) out += "Connection: close\r\n";
   out += "\r\n";
@@ -189,7 +190,7 @@
   if (head.length > static_cast<std::int64_t>(self.body_most)) self.wrong = Error::body_large;
   if (self.wrong != Error::none) return -1;
   bool const body = self.ears.head ? self.ears.head(head) : true;
-  bool const never = !self.requests && (head.status < 200 || head.status == 204 || head.status == 304);
+  bool const never = !self.requests && bodiless(head.status);
   return body && !never ? 0 : 1;
 }
 
--- a/src/gate/net/http.h
+++ b/src/gate/net/http.h
@@ -40,6 +40,8 @@
 std::string answer_text(Head const& head, std::int64_t length, bool close);
 std::string chunk_text(std::string_view bytes);
 char const* reason_of(unsigned status);
+// An answer of that status has no body, whatever its fields say.
+constexpr bool bodiless(unsigned status) { return status < 200 || status == 204 || status == 304; }
 
 // Reads messages from one connection, one after the other.
 class Reader {
--- a/src/gate/net/server.cc
+++ b/src/gate/net/server.cc
@@ -17,7 +17,7 @@
   bool busy = false;        // a call is with the ears, or being answered
   bool headed = false;      // its answer has begun
   bool chunked = false;
-  bool head_only = false;   // a HEAD: its answer has no body
+  bool head_only = false;   // a HEAD, or an answer whose status has no body
   bool last = false;        // the connection closes after this answer
   bool parsing = false;
   std::int64_t owed = -1;   // what is left of an announced length
@@ -135,6 +135,7 @@
   if (conn == nullptr || conn->headed) return;
   conn->headed = true;
   conn->last = conn->last || last_calls;
+  conn->head_only = conn->head_only || bodiless(head.status);
   conn->chunked = length < 0;
   conn->owed = length;
   conn->link->write(answer_text(head, length, conn->last));
@@ -146,6 +147,8 @@
   if (conn->chunked) {
     conn->link->write(chunk_text(bytes));
   } else {
+    // More than was announced would be taken for the next answer.
+    bytes = bytes.substr(0, static_cast<std::size_t>(conn->owed));
     conn->owed -= static_cast<std::int64_t>(bytes.size());
     conn->link->write(bytes);
   }
@@ -154,6 +157,7 @@
 void Server::end(std::uint64_t id) {
   Conn* const conn = conn_of(id);
   if (conn == nullptr) return;
+  if (!conn->head_only && conn->owed > 0) return break_off(id);
   if (conn->chunked && !conn->head_only) conn->link->write("0\r\n\r\n");
   finished(*conn);
 }
@@ -162,6 +166,7 @@
   Conn* const conn = conn_of(id);
   if (conn == nullptr || conn->headed) return;
   conn->last = conn->last || last_calls;
+  conn->head_only = conn->head_only || bodiless(head.status);
   std::string text = answer_text(head, static_cast<std::int64_t>(body.size()), conn->last);
   if (!conn->head_only) text.append(body);
   conn->link->write(text);
