--- a/tests/dispatcher.cc
+++ b/tests/dispatcher.cc
@@ -332,6 +332,19 @@
   }
 }
 
+TEST_F(Desks, nobody_is_told_that_nothing_was_sent_when_an_earlier_attempt_was) {
+  worker("w");
+  worker("v");
+  place(1, "safe");
+  dispatcher.left(1, now);
+  end(1, AttemptEnd::broke);
+  ASSERT_FALSE(started(1).empty());
+  wait(seconds(5));
+  ASSERT_EQ(out.denials.size(), 1u);
+  EXPECT_EQ(out.denials[0].kind, Kind::worker_silent);
+  EXPECT_EQ(out.denials[0].wait, 0);
+}
+
 TEST_F(Desks, a_stream_moves_away_from_a_worker_that_fell_silent) {
   worker("w");
   worker("v");
