--- /dev/null
+++ b/tests/loopback.h
@@ -0,0 +1,92 @@
+// Connections over the loopback for tests, under a main loop that is turned by hand.
+#pragma once
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "gate/net/link.h"
+
+namespace pipit {
+
+// Turns the main loop by hand until something holds; a watchdog ends a wait that would never end.
+inline bool until(std::function<bool()> const& holds) {
+  bool late = false;
+  guint const dog = g_timeout_add_seconds(
+      20,
+      [](gpointer data) -> gboolean {
+        *static_cast<bool*>(data) = true;
+        return G_SOURCE_CONTINUE;
+      },
+      &late);
+  while (!late && !holds()) g_main_context_iteration(nullptr, TRUE);
+  g_source_remove(dog);
+  return holds();
+}
+// Whatever can be done without waiting.
+inline void settle() {
+  for (int turns = 0; turns < 1000 && g_main_context_iteration(nullptr, FALSE); ++turns) {
+  }
+}
+
+// A free port of this machine's loopback.
+inline std::string free_address() {
+  int const fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in own = {};
+  own.sin_family = AF_INET;
+  own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof own;
+  EXPECT_EQ(::bind(fd, reinterpret_cast<sockaddr*>(&own), sizeof own), 0);
+  EXPECT_EQ(::getsockname(fd, reinterpret_cast<sockaddr*>(&own), &size), 0);
+  ::close(fd);
+  return "127.0.0.1:" + std::to_string(ntohs(own.sin_port));
+}
+inline std::string open_door(std::function<Result<void>(std::string const&)> const& listen) {
+  for (int tries = 0; tries < 20; ++tries) {
+    std::string const address = free_address();
+    if (listen(address)) return address;
+  }
+  ADD_FAILURE() << "no free port";
+  return "";
+}
+
+// One side of a connection, as it is seen from outside.
+struct Wire {
+  std::shared_ptr<Link> link;
+  std::string got;
+  bool up = false;
+  bool shut = false;
+  Link::End how = Link::End::closed;
+
+  void hear() {
+    link->listen({[this] { up = true; }, [this](std::string_view bytes) { got.append(bytes); },
+                  [this](Link::End how_) {
+                    shut = true;
+                    how = how_;
+                  },
+                  nullptr});
+  }
+  explicit Wire(std::shared_ptr<Link> link_) : link(std::move(link_)), up(true) { hear(); }
+  explicit Wire(std::string const& address) : link(Link::dial(address, "", seconds(10))) {
+    hear();
+    EXPECT_TRUE(until([this] { return up || shut; }));
+  }
+  ~Wire() { link->close(); }
+  Wire(Wire const&) = delete;
+  void send(std::string_view bytes) { link->write(bytes); }
+};
+
+inline std::size_t count_of(std::string const& text, std::string const& what) {
+  std::size_t n = 0;
+  for (std::size_t at = text.find(what); at != std::string::npos; at = text.find(what, at + what.size())) ++n;
+  return n;
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/tests/relay.cc
@@ -0,0 +1,236 @@
+// Callers, the relay, the dispatcher and workers made of sockets: what passes through, and what each side is told (§12.5).
+#include <gtest/gtest.h>
+
+#include <glib.h>
+
+#include "gate/relay/relay.h"
+#include "tests/loopback.h"
+
+namespace pipit {
+
+namespace {
+std::string route_text(std::string const& name, std::string const& more) {
+  return "{\"name\":\"" + name + "\",\"host\":\"h.test\",\"prefix\":\"/" + name +
+         "/\",\"shares\":[{\"pool\":\"p\"}],\"hold_ms\":20000,\"aim_ms\":1000,\"attempts\":3" + more + "}";
+}
+
+class Passing : public testing::Test {
+ protected:
+  struct Worker {
+    Door door;
+    std::string address;
+    std::vector<std::unique_ptr<Wire>> wires;
+    std::string got() const {
+      std::string out;
+      for (std::unique_ptr<Wire> const& wire : wires) out += wire->got;
+      return out;
+    }
+  };
+
+  Passing()
+      : relay(dispatcher, Dialect(), "",
+              {[this](std::uint64_t id, Query query) {
+                 DispatchOut out;
+                 dispatcher.fresh(id, std::move(query), g_get_monotonic_time(), out);
+                 relay.act(out);
+               },
+               [this](std::uint64_t id, AttemptEnd end, bool elsewhere) {
+                 DispatchOut out;
+                 dispatcher.ended(id, end, elsewhere, g_get_monotonic_time(), out);
+                 relay.act(out);
+               },
+               [this](std::uint64_t id) { dispatcher.hung_up(id, g_get_monotonic_time()); }}) {
+    Result<std::shared_ptr<Creed const>> const rules = read_creed(
+        "{\"format\":1,\"lanes\":[],\"pools\":[{\"name\":\"p\",\"model\":\"m\"}],\"routes\":[" + route_text("once", "") + "," +
+        route_text("safe", ",\"repeatable\":true") + "," + route_text("live", ",\"streams\":true") + "," +
+        route_text("flow", ",\"streams\":true,\"resumable\":true") + "]}");
+    EXPECT_TRUE(rules);
+    dispatcher.in_force(rules.value());
+    dispatcher.budget(0.2, 10);
+    address = open_door([this](std::string const& at) { return relay.listen(at); });
+  }
+  ~Passing() override { caller.reset(); }
+
+  void worker(std::string const& id) {
+    std::unique_ptr<Worker>& made = workers[id];
+    made = std::make_unique<Worker>();
+    Worker* const at = made.get();
+    at->address = open_door([at](std::string const& address) {
+      return at->door.open(address, [at](std::shared_ptr<Link> link) { at->wires.push_back(std::make_unique<Wire>(std::move(link))); });
+    });
+    Beat word;
+    word.id = id;
+    word.address = at->address;
+    word.zone = "a";
+    word.pool = "p";
+    word.slots = 8;
+    word.order = 1;
+    registry.beat(word, g_get_monotonic_time());
+  }
+  void ask(std::string const& method, std::string const& path, std::string const& fields = "") {
+    if (!caller || caller->shut) caller = std::make_unique<Wire>(address);
+    caller->got.clear();
+    caller->send(method + " " + path + " HTTP/1.1\r\nHost: h.test:80\r\nX-Pipit-Attempt: r1\r\n" + fields +
+                 (method == "POST" ? "Content-Length: 2\r\n\r\nhi" : "\r\n"));
+  }
+  // The worker, other than one, that has the request now.
+  std::string reached(std::string const& but = "") {
+    std::string out;
+    EXPECT_TRUE(until([&] {
+      for (std::pair<std::string const, std::unique_ptr<Worker>> const& item : workers)
+        if (item.first != but && item.second->got().find("\r\n\r\n") != std::string::npos) out = item.first;
+      return !out.empty();
+    }));
+    return out;
+  }
+  Wire& wire_of(std::string const& id) { return *workers.at(id)->wires.back(); }
+  bool hears(std::string const& text) {
+    return until([&] { return caller->got.find(text) != std::string::npos; });
+  }
+  bool quiet() const {
+    for (std::pair<std::string const, Instance> const& item : registry.all)
+      if (item.second.running != 0 || item.second.reading != 0 || item.second.held != 0) return false;
+    return dispatcher.under_way() == 0;
+  }
+
+  Tide tide{1};
+  Registry registry{"n1"};
+  Dispatcher dispatcher{"n1", "a", tide, registry};
+  Relay relay;
+  std::string address;
+  std::map<std::string, std::unique_ptr<Worker>> workers;
+  std::unique_ptr<Wire> caller;
+};
+std::string const mine = "X-Pipit-Attempt: r1\r\n";
+}  // namespace
+
+TEST_F(Passing, a_request_and_its_answer_pass_through) {
+  worker("w");
+  ask("POST", "/once/x?y=z", "Connection: X-Mine\r\nX-Mine: 1\r\nX-Yours: 2\r\n");
+  ASSERT_EQ(reached(), "w");
+  std::string const got = workers["w"]->got();
+  EXPECT_EQ(got.substr(0, 28), "POST /once/x?y=z HTTP/1.1\r\nH");
+  for (char const* const there : {"X-Yours: 2", "X-Pipit-Instance: w", "X-Pipit-Left-Ms: ", "Content-Length: 2\r\n", "\r\n\r\nhi"})
+    EXPECT_NE(got.find(there), std::string::npos) << there;
+  EXPECT_EQ(got.find("X-Mine"), std::string::npos);
+  wire_of("w").send("HTTP/1.1 201 Made\r\n" + mine + "Keep-Alive: timeout=9\r\nX-Back: 3\r\nContent-Length: 3\r\n\r\nyes");
+  ASSERT_TRUE(hears("yes"));
+  EXPECT_EQ(caller->got.substr(0, 18), "HTTP/1.1 201 Made\r");
+  EXPECT_NE(caller->got.find("X-Back: 3"), std::string::npos);
+  EXPECT_EQ(caller->got.find("Keep-Alive"), std::string::npos);
+  EXPECT_TRUE(quiet());
+}
+
+TEST_F(Passing, HEAD_is_answered_with_a_head) {
+  worker("w");
+  ask("HEAD", "/once/x");
+  ASSERT_EQ(reached(), "w");
+  wire_of("w").send("HTTP/1.1 200 OK\r\n" + mine + "Content-Length: 5000\r\n\r\n");
+  ASSERT_TRUE(hears("\r\n\r\n"));
+  EXPECT_NE(caller->got.find("Content-Length: 5000"), std::string::npos);
+  EXPECT_TRUE(quiet());
+  EXPECT_EQ(relay.upstream.kept("w"), 1u);
+}
+
+TEST_F(Passing, what_there_is_no_route_for_is_said_not_to_have_run) {
+  ask("POST", "/nowhere/x");
+  ASSERT_TRUE(hears("}"));
+  EXPECT_EQ(caller->got.substr(0, 12), "HTTP/1.1 404");
+  EXPECT_NE(caller->got.find("\"ran\":\"no\""), std::string::npos) << caller->got;
+  EXPECT_EQ(caller->got.find("Retry-After"), std::string::npos);
+}
+
+TEST_F(Passing, a_worker_that_breaks_before_its_answer_leaves_doubt) {
+  worker("w");
+  worker("v");
+  ask("POST", "/once/x");
+  std::string const first = reached();
+  wire_of(first).link->close();
+  ASSERT_TRUE(hears("}"));
+  EXPECT_EQ(caller->got.substr(0, 12), "HTTP/1.1 502");
+  EXPECT_NE(caller->got.find("\"ran\":\"unknown\""), std::string::npos) << caller->got;
+  EXPECT_EQ(caller->got.find("Retry-After"), std::string::npos);
+  EXPECT_EQ(workers[first == "w" ? "v" : "w"]->got(), "");
+  EXPECT_TRUE(quiet());
+}
+
+TEST_F(Passing, what_a_worker_did_not_run_goes_to_another) {
+  for (std::string const& answer : {std::string("503 Busy\r\nX-Pipit-Not-Run: 1\r\n"), std::string("421 Elsewhere\r\n")}) {
+    worker("w");
+    worker("v");
+    ask("POST", "/once/x");
+    std::string const first = reached();
+    wire_of(first).send("HTTP/1.1 " + answer + mine + "Content-Length: 0\r\n\r\n");
+    std::string const second = reached(first);
+    wire_of(second).send("HTTP/1.1 200 OK\r\n" + mine + "Content-Length: 3\r\n\r\nyes");
+    ASSERT_TRUE(hears("yes"));
+    EXPECT_TRUE(quiet());
+    workers.clear();
+    registry.all.clear();
+    settle();
+  }
+}
+
+TEST_F(Passing, a_workers_own_failure_passes_back) {
+  worker("w");
+  ask("POST", "/once/x");
+  ASSERT_EQ(reached(), "w");
+  wire_of("w").send("HTTP/1.1 500 Odd\r\n" + mine + "Content-Length: 3\r\n\r\nbad");
+  ASSERT_TRUE(hears("bad"));
+  EXPECT_EQ(caller->got.substr(0, 16), "HTTP/1.1 500 Odd");
+  EXPECT_TRUE(quiet());
+}
+
+TEST_F(Passing, a_stream_goes_on_at_another_worker_and_no_event_comes_twice) {
+  worker("w");
+  worker("v");
+  ask("POST", "/flow/x");
+  std::string const first = reached();
+  wire_of(first).send("HTTP/1.1 200 OK\r\n" + mine + "Transfer-Encoding: chunked\r\n\r\n1c\r\nid: 1\ndata: a\n\nid: 2\ndata: b\r\n");
+  ASSERT_TRUE(hears("data: a\n\n"));
+  EXPECT_EQ(caller->got.find("data: b"), std::string::npos) << "not before it is whole";
+  wire_of(first).link->close(true);
+  std::string const second = reached(first);
+  EXPECT_NE(workers[second]->got().find("Last-Event-Id: 1\r\n"), std::string::npos);
+  wire_of(second).send("HTTP/1.1 200 OK\r\n" + mine +
+                       "Content-Length: 45\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+  ASSERT_TRUE(hears("0\r\n\r\n"));
+  for (char const* const part : {"data: a\n\n", "data: b\n\n", "data: c\n\n"}) EXPECT_EQ(count_of(caller->got, part), 1u) << part;
+  EXPECT_TRUE(quiet());
+}
+
+TEST_F(Passing, a_stream_that_cannot_go_on_does_not_look_whole) {
+  worker("w");
+  worker("v");
+  ask("POST", "/live/x");
+  std::string const first = reached();
+  wire_of(first).send("HTTP/1.1 200 OK\r\n" + mine + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+  ASSERT_TRUE(hears("hello"));
+  wire_of(first).link->close();
+  ASSERT_TRUE(until([&] { return caller->shut; }));
+  EXPECT_EQ(caller->got.find("0\r\n\r\n"), std::string::npos);
+  EXPECT_TRUE(quiet());
+}
+
+TEST_F(Passing, a_stream_without_content_is_no_body) {
+  worker("w");
+  ask("POST", "/flow/x");
+  ASSERT_EQ(reached(), "w");
+  wire_of("w").send("HTTP/1.1 204 None\r\n" + mine + "\r\n");
+  ASSERT_TRUE(hears("\r\n\r\n"));
+  settle();
+  EXPECT_TRUE(caller->got.ends_with("\r\n\r\n"));
+  EXPECT_EQ(caller->got.find("chunked"), std::string::npos);
+  EXPECT_TRUE(quiet());
+}
+
+TEST_F(Passing, a_caller_that_leaves_takes_its_attempt_along) {
+  worker("w");
+  ask("POST", "/live/x");
+  ASSERT_EQ(reached(), "w");
+  caller->link->close();
+  ASSERT_TRUE(until([&] { return wire_of("w").shut; }));
+  EXPECT_TRUE(quiet());
+}
+
+}  // namespace pipit
