Relay: what has no route is said not to have run

Cause: every denial without a time to come back was told as unknown, also one of a request that was never sent. Test: Passing.what_there_is_no_route_for_is_said_not_to_have_run.

--- a/src/gate/relay/relay.cc
+++ b/src/gate/relay/relay.cc
@@ -123,7 +123,8 @@
 void Relay::deny(Denial const& denial) {
   ++kinds[kind_row(denial.kind).name];
   callers.erase(denial.request);
-  Answer const answer = answer_for(Fault{denial.kind, "", ""}, denial.wait > 0 ? Ran::no : Ran::unknown, denial.wait);
+  Ran const ran = denial.wait > 0 ? Ran::no : kind_row(denial.kind).ran;
+  Answer const answer = answer_for(Fault{denial.kind, "", ""}, ran, denial.wait);
   Head head;
   // A promise only where it can be kept: whatever may have run is a gateway's failure.
   head.status = denial.wait > 0 ? 503 : answer.status;
