--- a/tests/dispatcher.cc
+++ b/tests/dispatcher.cc
@@ -332,6 +332,18 @@
   }
 }
 
+TEST_F(Desks, what_has_no_time_left_is_refused_and_not_sent) {
+  worker("w");
+  for (Micros const left : {Micros(1), millis(1), millis(20)}) {
+    Query query = query_of("once");
+    query.left = left;
+    EXPECT_EQ(place(1, query), "") << left;
+    ASSERT_EQ(out.denials.size(), 1u);
+    EXPECT_GT(out.denials[0].wait, 0) << "it did not run";
+    EXPECT_TRUE(free_of_work());
+  }
+}
+
 TEST_F(Desks, nobody_is_told_that_nothing_was_sent_when_an_earlier_attempt_was) {
   worker("w");
   worker("v");
