Dispatcher: what has no time left is refused and not sent

Cause: a request whose time was over when it came went to a worker and was cut in the next moment, so that one that may not repeat ended in doubt. Test: Desks.what_has_no_time_left_is_refused_and_not_sent.

--- a/src/flow/dispatch/dispatcher.cc
+++ b/src/flow/dispatch/dispatcher.cc
@@ -131,6 +131,7 @@
   request.tree = request.pool->name + "/" + request.query.model;
   Micros const left = request.query.left > 0 ? request.query.left : request.route->hold;
   request.due = now + std::min(left, request.route->hold) - way_back;
+  if (request.due <= now) return deny(request, Kind::expired, millis(100), out);
   request.give_up = now + std::min(request.route->aim / 5, left / 4);
   Bucket& earned = bucket(*request.pool);
   earned.level += resend_ratio;
