--- a/src/core/registered.cc
+++ b/src/core/registered.cc
@@ -122,7 +122,11 @@
 }
 
 void Node::tick_registered(Micros now, std::vector<Letter>& letters, NodeOut& out) {
-  mesh.ledger.passes_on = !mesh.wide();
+  Paths const ways = paths();
+  // §12.7: an owner tells every peer itself; a hub tells its zone besides, for pairs that have no connection.
+  mesh.ledger.passes_on = !ways.wide;
+  mesh.ledger.pass_to.clear();
+  if (ways.hub) mesh.ledger.pass_to.insert(ways.zone.begin(), ways.zone.end());
   if (now >= next_round) {
     next_round = now + seconds(1);
     tide.round(
@@ -140,7 +144,7 @@
   dispatcher.nodes(passages(true).size(), mesh.wide());
   look_ready(now, out);
   dispatcher.tick(now, out.dispatch);
-  exchange.tick(now, paths(), letters);
+  exchange.tick(now, ways, letters);
 }
 
 }  // namespace pipit
--- a/src/flow/dispatch/dispatcher.h
+++ b/src/flow/dispatch/dispatcher.h
@@ -78,7 +78,7 @@
   // The part of all re-sends in a window that this node may take beside what its own requests earn (§12.5).
   void budget(double ratio, double store);
   // Its state is known from now on to the table of members, DOWN ones too.
-  void nodes(std::size_t count, bool wide_) {
+  void nodes(std::size_t count, bool wide_ = false) {
     node_count = std::max<std::size_t>(1, count);
     wide = wide_;
   }
--- a/src/flow/registry/registry.cc
+++ b/src/flow/registry/registry.cc
@@ -39,6 +39,7 @@
       tell(Event::worker_leaving, instance.id);
       break;
     case Standing::gone:
+      instance.known = now;  // its mark is kept for a while from here on
       tell(Event::worker_gone, instance.id);
       ended.push_back(instance.id);
       break;
@@ -96,9 +97,11 @@
     item.known = now;
     item.standing = said;
     tell(Event::worker_joined, entry.key + " at " + entry.address);
-  } else if (entry.incarnation < item.order && item.standing != Standing::serving && said == Standing::serving &&
-             guard(Guard::local_veto)) {
-    // It knows less than this node: said again, with a later stamp, so that the others hear it too (§12.3).
+  } else if ((entry.incarnation < item.order || item.standing == Standing::leaving) &&
+             item.standing != Standing::serving && said == Standing::serving && guard(Guard::local_veto)) {
+    // It knows less than this node: said again, with a later stamp, so that the others hear it too (§12.3). An end that
+    // the worker announced is not taken back, whoever took its last beat.
+    item.order = std::max(item.order, entry.incarnation);
     return entry_of(item);
   }
   item.address = entry.address;
@@ -142,7 +145,7 @@
 bool Registry::doubt(std::string const& id, Micros now) {
   Instance* const item = find(id);
   if (item == nullptr) return false;
-  if (item->shunned > now) return false;
+  if (item->doubted >= 0 && item->shunned > now) return false;  // shunned for being full is no doubt
   ++item->faults;
   item->doubted = now;
   item->shunned = now + std::min<Micros>(shun_most, shun_first << std::min(item->faults - 1, 4));
--- a/src/gate/net/link.h
+++ b/src/gate/net/link.h
@@ -37,12 +37,14 @@
   void hold(bool held_);
   // Closes without a word to the ears. A reset tells the peer that what it got is not whole.
   void close(bool reset = false);
-  // Closes once everything written has been taken.
+  // Closes once everything written has been taken, whoever still holds the link; the peer has a while for that.
   void finish();
   bool open() const { return fd >= 0; }
   // Whether somebody said no when it was dialled: no process listens there.
   bool refused() const { return told_no; }
   bool connected() const { return state == State::up; }
+  // Open, and nothing has come that is still to be read, not even its end.
+  bool quiet() const;
 
  private:
   enum class State : std::uint8_t { dialling, up, shut };
@@ -64,6 +66,7 @@
   bool held = false;
   bool last = false;
   bool told_no = false;
+  std::shared_ptr<Link> own;  // while it finishes
   std::string out;
   std::size_t gone = 0;
   Ears ears;
--- a/src/hull/wire/wires.cc
+++ b/src/hull/wire/wires.cc
@@ -38,7 +38,13 @@
     return;
   }
   wires[made->id] = made;
-  made->link->listen({[this, made] { adopt(made, true); }, nullptr,
+  made->link->listen({[this, id = made->id] {
+                        std::map<WireId, std::shared_ptr<Wire>>::iterator const spot = wires.find(id);
+                        if (spot == wires.end()) return;
+                        std::shared_ptr<Wire> const keep = spot->second;
+                        adopt(keep, true);
+                      },
+                      nullptr,
                       [this, id = made->id](Link::End how) { lost(id, how); }, nullptr});
 }
 
--- a/src/kin/ledger/ledger.cc
+++ b/src/kin/ledger/ledger.cc
@@ -48,7 +48,12 @@
   else
     gone_at.erase(item.key);
   items[item.key] = item;
-  if (passes_on) owe(from, item.key, item.stamp);
+  if (passes_on) {
+    owe(from, item.key, item.stamp);
+  } else {
+    for (std::string const& name : pass_to)
+      if (name != from && name != item.owner && owed.count(name)) owed[name].keys[item.key] = Owed{item.stamp, false};
+  }
   return true;
 }
 
--- a/src/kin/ledger/ledger.h
+++ b/src/kin/ledger/ledger.h
@@ -1,6 +1,7 @@
 // Entries of workers: last writer wins by Lamport clock, then by node; resent until acked, relayed (§3.5).
 #pragma once
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
   bool merge(std::string const& from, wire::EntryT const& item, Micros now);
   // A wire to the peer opened: it is owed everything.
   void owe_all(std::string const& peer);
+  // A wire opened to a peer that holds the same already: it is owed what changes from now on.
+  void meet(std::string const& peer) { owed[peer]; }
   void drop(std::string const& peer) { owed.erase(peer); }
   // The next batch for the peer: what was never sent to it, and with 'again' also what it has not acked.
   wire::EntriesT batch(std::string const& peer, bool again);
@@ -34,6 +37,7 @@
   std::uint64_t digest() const;
   // Whether entries of others are passed on to everybody; else their owner's own telling and the digests do (§3.6).
   bool passes_on = true;
+  std::set<std::string> pass_to;  // but to these, where it does not pass on to everybody
 
   std::map<std::string, wire::EntryT> const& all() const { return items; }
 
--- a/src/kin/mesh.cc
+++ b/src/kin/mesh.cc
@@ -77,7 +77,7 @@
 
 namespace {
 constexpr Micros repair_calm = seconds(1);  // without a change here, before everything is compared
-constexpr Micros repair_gap = seconds(3);
+constexpr Micros repair_gap = millis(1500);
 }  // namespace
 
 bool Mesh::Repair::due(std::uint64_t own, std::uint64_t theirs, Micros now) {
@@ -413,6 +413,7 @@
   // The greeting answers a probe that was waiting for a wire.
   for (std::map<std::uint64_t, Probe>::iterator it = probes.begin(); it != probes.end();)
     it = it->second.peer == name ? probes.erase(it) : std::next(it);
+  ledger.meet(name);
   if (!wide() || hello.ledger != ledger.digest()) ledger.owe_all(name);
   // §3.3: the peer learns what is said of it, and answers with a higher bump if it is wrong.
   if (!wide() || hello.digest != roll.digest()) {
