--- /dev/null
+++ b/proof/hollow/fit.cc
@@ -0,0 +1,67 @@
+#include "proof/hollow/fit.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+namespace pipit {
+
+namespace {
+Fit fit_power(std::vector<double> const& x, std::vector<double> const& y, int power) {
+  // Weights 1/y^2: a point counts by how far the line misses it in proportion.
+  double w0 = 0, w1 = 0, w2 = 0, v0 = 0, v1 = 0;
+  std::size_t n = 0;
+  for (std::size_t i = 0; i < x.size(); ++i) {
+    if (y[i] <= 0) continue;
+    double const w = 1 / (y[i] * y[i]);
+    double const t = std::pow(x[i], power);
+    w0 += w, w1 += w * t, w2 += w * t * t, v0 += w * y[i], v1 += w * t * y[i];
+    ++n;
+  }
+  Fit out;
+  out.power = power;
+  double const det = w0 * w2 - w1 * w1;
+  if (n == 0) return out;
+  if (n > 1 && det > 1e-9 * w0 * w2) {
+    out.base = (v0 * w2 - v1 * w1) / det;
+    out.slope = (w0 * v1 - w1 * v0) / det;
+  } else {
+    out.base = v0 / w0;
+  }
+  if (out.base < 0) out.base = 0, out.slope = v1 / w2;
+  if (out.slope < 0) out.slope = 0, out.base = v0 / w0;
+  for (std::size_t i = 0; i < x.size(); ++i)
+    if (y[i] > 0) out.error = std::max(out.error, std::abs(out.at(x[i]) - y[i]) / y[i]);
+  return out;
+}
+
+Fit fit_best(std::vector<double> const& x, std::vector<double> const& y, int most) {
+  Fit best;
+  for (int power = 1; power <= most; ++power) {
+    Fit const next = fit_power(x, y, power);
+    // A higher power only where it is clearly nearer.
+    if (power == 1 || next.error < best.error * 0.8) best = next;
+  }
+  return best;
+}
+}  // namespace
+
+double Fit::at(double x) const { return base + slope * std::pow(x, power); }
+
+std::string Fit::words(std::string const& name) const {
+  char text[96];
+  std::string const what = power == 1 ? name : name + "^" + std::to_string(power);
+  std::snprintf(text, sizeof text, "%.4g + %.4g %s", base, slope, what.c_str());
+  return text;
+}
+
+Fit fit(std::vector<double> const& x, std::vector<double> const& y, int most) {
+  Fit out = fit_best(x, y, most);
+  if (x.size() < 4 || y.back() <= 0) return out;
+  std::vector<double> const fewer_x(x.begin(), x.end() - 1);
+  std::vector<double> const fewer_y(y.begin(), y.end() - 1);
+  out.ahead = std::abs(fit_best(fewer_x, fewer_y, most).at(x.back()) - y.back()) / y.back();
+  return out;
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/proof/hollow/fit.h
@@ -0,0 +1,22 @@
+// Lines through measured points: what a cost grows with, and how far the line is from the points (docs/CAPACITY.md).
+#pragma once
+#include <string>
+#include <vector>
+
+namespace pipit {
+
+// y = base + slope * x^power, both terms at least 0.
+struct Fit {
+  double base = 0;
+  double slope = 0;
+  int power = 1;
+  double error = 0;   // the largest distance from a point, as a part of that point
+  double ahead = -1;  // how far the line through all but the last point misses the last; -1 with fewer than four points
+  double at(double x) const;
+  std::string words(std::string const& name) const;
+};
+
+// Least squares of the relative distances, over the powers 1 to 'most'. Points that are 0 do not count.
+Fit fit(std::vector<double> const& x, std::vector<double> const& y, int most = 3);
+
+}  // namespace pipit
--- /dev/null
+++ b/proof/hollow/machine.h
@@ -0,0 +1,33 @@
+// What a counted fleet is made of; only its own files look inside.
+#pragma once
+#include "proof/hollow/scale.h"
+
+namespace pipit {
+
+struct Scale::Machine {
+  std::string name, address, zone;
+  int region = 0;
+  Role role = Role::passage;
+  std::unique_ptr<Node> node;
+  std::uint64_t life = 0;
+  bool silent = false;  // without power: it answers no dial
+  Micros offset = 0;
+  std::optional<wire::RecordT> disk;
+  std::unordered_map<WireId, std::pair<std::shared_ptr<Link>, int>> wires;
+  WireId next_wire = 0;
+  std::uint64_t errands = 0;
+  std::uint64_t serial = 0;
+  Micros troubled = 0;  // when it was last started or ended
+  bool up() const { return node != nullptr; }
+};
+
+struct Scale::Link {
+  int who[2] = {0, 0};
+  std::uint64_t life[2] = {0, 0};
+  WireId wire[2] = {0, 0};
+  bool open = true;
+  Micros last[2] = {0, 0};           // arrival times keep their order
+  std::vector<std::string> held[2];  // what a cut holds back
+};
+
+}  // namespace pipit
--- /dev/null
+++ b/proof/hollow/scale.cc
@@ -0,0 +1,737 @@
+// Machines, wires and steps of a fleet whose costs are counted (§10.5).
+#include "proof/hollow/scale.h"
+
+#include <malloc.h>
+#include <time.h>
+
+#include <algorithm>
+#include <cstdio>
+
+#include "ground/events.h"
+#include "kin/frame.h"
+#include "proof/hollow/machine.h"
+
+namespace pipit {
+
+namespace {
+constexpr Micros tick_gap = millis(25);  // as the host's
+constexpr Micros look_gap = millis(100);
+constexpr Micros answer_span = millis(300);
+constexpr int regions = 4;
+constexpr int zone_count = 10;
+
+std::int64_t processor() {
+  timespec t{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
+  return static_cast<std::int64_t>(t.tv_sec) * 1000000000 + t.tv_nsec;
+}
+std::int64_t heap() {
+  struct mallinfo2 const info = mallinfo2();
+  return static_cast<std::int64_t>(info.uordblks + info.hblkhd);
+}
+std::string numbered(char const* head, int n) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%s%05d", head, n);
+  return text;
+}
+std::size_t kind_of(std::string const& bytes) {
+  return static_cast<std::size_t>(flatbuffers::GetSizePrefixedRoot<wire::Frame>(bytes.data())->body_type());
+}
+double share(std::vector<Micros> list, double part) {
+  if (list.empty()) return -1;
+  std::sort(list.begin(), list.end());
+  std::size_t const spot = static_cast<std::size_t>(part * static_cast<double>(list.size() - 1) + 0.5);
+  return static_cast<double>(list[spot]) / 1000;
+}
+}  // namespace
+
+double Figures::of(std::string const& name) const {
+  for (std::pair<std::string, double> const& row : rows)
+    if (row.first == name) return row.second;
+  return -1;
+}
+
+std::vector<std::string> Scale::phase_names() { return {"calm", "change", "restart", "cut", "region"}; }
+
+// Fits of measured runs, half as much again: a fleet that outgrows them is refused too early, not too late.
+double bytes_for(ScalePlan const& plan) {
+  double const n = plan.nodes, w = plan.workers;
+  double const blocks = static_cast<double>(plan.prefixes) * (prefix_blocks + 1) +
+                        static_cast<double>(plan.sessions) * (session_blocks + 1);
+  double const node = 300e3 + 4000 * n + 2200 * w + 90 * w * n + 330 * blocks + 2500 * plan.routes;
+  return 1.5 * n * node;
+}
+
+int nodes_within(ScalePlan plan, double bytes) {
+  int const least = plan.keepers + 2;
+  int best = 0;
+  for (plan.nodes = least; plan.nodes <= 100000 && bytes_for(plan) <= bytes; ++plan.nodes) best = plan.nodes;
+  return best;
+}
+
+Scale::Scale(ScalePlan plan_) : plan(std::move(plan_)), dice(plan.seed * 6151 + 29) {
+  for (int i = 0; i < zone_count; ++i) zones.push_back("r" + std::to_string(i % regions) + "z" + std::to_string(i));
+  for (int i = 0; i < plan.nodes; ++i) {
+    std::unique_ptr<Machine> made = std::make_unique<Machine>();
+    made->role = i < plan.keepers ? Role::accord : Role::passage;
+    made->name = made->role == Role::accord ? numbered("k", i + 1) : numbered("p", i + 1 - plan.keepers);
+    made->address = "10.1." + std::to_string(i / 250) + "." + std::to_string(1 + i % 250) + ":7000";
+    made->region = i % zone_count % regions;
+    made->zone = zones[static_cast<std::size_t>(i % zone_count)];
+    made->offset = static_cast<Micros>(dice.below(1000000000));
+    by_name[made->name] = i;
+    by_address[made->address] = i;
+    machines.push_back(std::move(made));
+  }
+  rows = std::make_shared<std::vector<ListRow>>();
+  for (int i = 0; i < plan.workers; ++i)
+    rows->push_back(ListRow{numbered("w", i + 1),
+                            "10.2." + std::to_string(i / 250) + "." + std::to_string(1 + i % 250) + ":9000",
+                            zones[static_cast<std::size_t>(i % zone_count)], "main", 1, 60, false});
+  // What the clock itself costs is taken off each step.
+  std::int64_t const from = processor();
+  for (int i = 0; i < 20000; ++i) processor();
+  clock_cost = (processor() - from) / 20001;
+}
+Scale::~Scale() = default;
+
+std::string Scale::description(int n) const {
+  std::size_t const each = static_cast<std::size_t>((static_cast<double>(plan.prefixes) * (prefix_blocks + 1) +
+                                                     static_cast<double>(plan.sessions) * (session_blocks + 1)) /
+                                                    std::max(1, plan.workers));
+  std::string out =
+      "{\"format\":1,\n \"locality_ms\":60,\n \"pools\":[{\"name\":\"main\",\"model\":\"tribute\","
+      "\"slots\":60,\"cold_per_second\":8,\"cold_ms\":5000,\"cache_blocks\":" +
+      std::to_string(std::max<std::size_t>(4000, 2 * each + 1000)) +
+      ",\"block_us\":3000,\"service_ms\":300}],\n \"lanes\":[\n";
+  // The lane that callers use comes last, so that a request passes every other one.
+  for (int i = 1; i < plan.routes; ++i)
+    out += "  {\"name\":\"tenant" + std::to_string(i) + "\",\"binding\":\"match user starts \\\"tenant" +
+           std::to_string(i) + "\\\"; pool main\",\"policy\":\"wait 1s\"},\n";
+  return out + "  {\"name\":\"drafts\",\"binding\":\"match model = \\\"tribute\\\"; pool main\",\"policy\":\"wait " +
+         std::to_string(2000 + n % 50) + "ms; repeat never; backlog 200; tries 2; answer 10s; stall 8s\"}]}\n";
+}
+
+Path Scale::path(std::uint64_t prefix, std::uint64_t session) const {
+  Path out;
+  std::uint64_t hash = stir(prefix + 1);
+  for (int i = 0; i < prefix_blocks; ++i) out.push_back(hash = stir(hash + 1));
+  if (session == 0) return out;
+  hash ^= stir(session << 20);
+  for (int i = 0; i < session_blocks; ++i) out.push_back(hash = stir(hash + 1));
+  return out;
+}
+
+void Scale::fill(Machine& machine) {
+  if (!machine.up() || machine.role != Role::passage || plan.workers == 0 || plan.prefixes == 0) return;
+  Index& index = machine.node->tide.index("tribute");
+  Micros const t = now + machine.offset;
+  Index::Bounds const bounds{100000000, seconds(900)};
+  for (int i = 0; i < plan.prefixes; ++i) {
+    std::uint64_t const n = static_cast<std::uint64_t>(i);
+    index.touch(path(n, 0), (*rows)[n % rows->size()].id, 1, bounds, t);
+  }
+  for (int i = 1; i <= plan.sessions; ++i) {
+    std::uint64_t const prefix = static_cast<std::uint64_t>(i % plan.prefixes);
+    index.touch(path(prefix, static_cast<std::uint64_t>(i)), (*rows)[prefix % rows->size()].id, 1, bounds, t);
+  }
+}
+
+Micros Scale::lag(Machine const& a, Machine const& b) {
+  if (a.zone == b.zone) return between(100, 500);
+  return a.region == b.region ? between(500, 2000) : between(millis(15), millis(45));
+}
+
+bool Scale::cut(Machine const& a, Machine const& b) const {
+  return !zone_cut.empty() && (a.zone == zone_cut) != (b.zone == zone_cut);
+}
+
+void Scale::boot(int who) {
+  Machine& m = *machines[static_cast<std::size_t>(who)];
+  if (m.up()) return;
+  m.life = ++lives;
+  m.silent = false;
+  m.wires.clear();
+  m.errands = 0;
+  m.serial = 0;
+  m.troubled = now;
+  NodePlan p;
+  p.name = m.name;
+  p.zone = m.zone;
+  p.address = m.address;
+  p.http = m.address.substr(0, m.address.find(':')) + ":7080";
+  p.role = m.role;
+  for (int i = 0; i < plan.keepers; ++i) {
+    if (i < 3) p.seeds.push_back(machines[static_cast<std::size_t>(i)]->address);
+    if (m.role == Role::accord) p.founders.push_back(machines[static_cast<std::size_t>(i)]->name);
+  }
+  p.incarnation = 1000 + lives;
+  p.chance = stir(plan.seed * 31 + lives);
+  std::optional<wire::RecordT> slate;
+  if (m.role == Role::accord) {
+    if (!m.disk) {
+      wire::RecordT blank;
+      blank.cluster = "pipit";
+      blank.name = m.name;
+      blank.disk = stir(plan.seed ^ (lives << 20));
+      m.disk = blank;
+    }
+    slate = m.disk;
+  }
+  m.node = std::make_unique<Node>(p, now + m.offset, slate);
+  std::uint64_t const life = m.life;
+  after(between(0, tick_gap), [this, who, life] { tick(who, life); });
+  if (m.role == Role::passage && plan.rate > 0) after(seconds(2), [this, who, life] { call(who, life); });
+}
+
+void Scale::halt(int who, bool silent) {
+  Machine& m = *machines[static_cast<std::size_t>(who)];
+  if (!m.up()) return;
+  m.troubled = now;
+  m.silent = silent;
+  std::unordered_map<WireId, std::pair<std::shared_ptr<Link>, int>> const wires = std::move(m.wires);
+  m.wires.clear();
+  m.node.reset();
+  for (Kill& other : kills) other.pending.erase(who);
+  if (silent) return;
+  for (std::pair<WireId const, std::pair<std::shared_ptr<Link>, int>> const& item : wires)
+    hang(item.second.first, item.second.second);
+}
+
+// Runs one step of a node and counts the processor time of the step alone, not of what carries its effects out.
+template <class F>
+void Scale::enter(int who, std::uint64_t life, Step sort, F&& step, int kind) {
+  Machine& m = *machines[static_cast<std::size_t>(who)];
+  if (!m.up() || m.life != life) return;
+  NodeOut out;
+  std::int64_t const from = processor();
+  step(m, now + m.offset, out);
+  std::int64_t const took = std::max<std::int64_t>(0, processor() - from - clock_cost);
+  if (phase != nullptr) {
+    Count& count = phase->count[static_cast<std::size_t>(m.role)];
+    count.nanos[static_cast<std::size_t>(sort)] += took;
+    if (kind >= 0) count.nanos_in[static_cast<std::size_t>(kind)] += took;
+  }
+  obey(who, out);
+  if (m.node->learner.serial() == m.serial) return;
+  m.serial = m.node->learner.serial();
+  for (Turn& item : turns)
+    if (m.serial >= item.serial && item.pending.erase(who) > 0 && item.pending.empty())
+      everywhere_after.push_back(now - item.at);
+}
+
+void Scale::tick(int who, std::uint64_t life) {
+  Machine& m = *machines[static_cast<std::size_t>(who)];
+  if (!m.up() || m.life != life) return;
+  enter(who, life, Step::tick, [](Machine& b, Micros t, NodeOut& out) { b.node->tick(t, out); });
+  for (Kill& kill : kills) {
+    if (!kill.pending.count(who)) continue;
+    std::map<std::string, Peer>::const_iterator const peer =
+        m.node->mesh.roll.peers.find(machines[static_cast<std::size_t>(kill.who)]->name);
+    if (peer == m.node->mesh.roll.peers.end() || peer->second.state() != State::down) continue;
+    kill.pending.erase(who);
+    detected[kill.silent ? 1 : 0].push_back(now - kill.at);
+  }
+  after(tick_gap, [this, who, life] { tick(who, life); });
+}
+
+void Scale::dial(int who, std::string const& address) {
+  Machine& m = *machines[static_cast<std::size_t>(who)];
+  std::uint64_t const life = m.life;
+  if (phase != nullptr) ++phase->count[static_cast<std::size_t>(m.role)].dials;
+  std::unordered_map<std::string, int>::const_iterator const spot = by_address.find(address);
+  Machine* const target = spot == by_address.end() ? nullptr : machines[static_cast<std::size_t>(spot->second)].get();
+  bool const mute = target == nullptr || target->silent || cut(m, *target);
+  if (mute || !target->up()) {
+    after(mute ? seconds(1) : 2 * lag(m, *target), [this, who, life, address, mute] {
+      enter(who, life, Step::wire,
+            [&address, mute](Machine& b, Micros t, NodeOut& out) { b.node->dial_failed(address, !mute, t, out); });
+    });
+    return;
+  }
+  std::shared_ptr<Link> const link = std::make_shared<Link>();
+  link->who[0] = who;
+  link->who[1] = spot->second;
+  link->life[0] = life;
+  link->life[1] = target->life;
+  Micros const there = lag(m, *target);
+  Micros const back = there + lag(m, *target);
+  link->last[1] = now + back;  // nothing reaches the dialler before its wire is open
+  for (int side = 0; side < 2; ++side)
+    after(side == 1 ? there : back, [this, link, side, address] {
+      Machine& b = *machines[static_cast<std::size_t>(link->who[side])];
+      if (!b.up() || b.life != link->life[side]) return;
+      if (!link->open) {
+        if (side == 0)
+          enter(link->who[0], b.life, Step::wire,
+                [&address](Machine& x, Micros t, NodeOut& out) { x.node->dial_failed(address, false, t, out); });
+        return;
+      }
+      WireId const id = ++b.next_wire;
+      link->wire[side] = id;
+      b.wires[id] = {link, side};
+      enter(link->who[side], b.life, Step::wire, [id, side, &address](Machine& x, Micros t, NodeOut& out) {
+        x.node->opened(id, side == 0, address, t, out);
+      });
+    });
+}
+
+void Scale::hang(std::shared_ptr<Link> const& link, int from) {
+  if (!link->open) return;
+  link->open = false;
+  int const to = 1 - from;
+  Machine& near = *machines[static_cast<std::size_t>(link->who[from])];
+  Machine& far = *machines[static_cast<std::size_t>(link->who[to])];
+  if (near.up() && link->wire[from] != 0) near.wires.erase(link->wire[from]);
+  if (cut(near, far)) return;  // the other side finds out by itself
+  // What was sent before the end arrives before it.
+  at(std::max(link->last[from] + 1, now + lag(near, far)), [this, link, to] {
+    Machine& b = *machines[static_cast<std::size_t>(link->who[to])];
+    if (!b.up() || b.life != link->life[to] || link->wire[to] == 0) return;
+    b.wires.erase(link->wire[to]);
+    WireId const id = link->wire[to];
+    enter(link->who[to], b.life, Step::wire, [id](Machine& x, Micros t, NodeOut& out) { x.node->shut(id, t, out); });
+  });
+}
+
+void Scale::pass(std::shared_ptr<Link> const& link, int side, std::string bytes) {
+  Machine const& near = *machines[static_cast<std::size_t>(link->who[side])];
+  Machine const& far = *machines[static_cast<std::size_t>(link->who[1 - side])];
+  if (cut(near, far)) {
+    if (link->held[0].empty() && link->held[1].empty()) stalled.push_back(link);
+    link->held[side].push_back(std::move(bytes));
+    return;
+  }
+  Micros const when = std::max(link->last[side] + 1, now + lag(near, far));
+  link->last[side] = when;
+  at(when, [this, link, side, bytes = std::move(bytes)] { arrive(link, side, bytes); });
+}
+
+void Scale::arrive(std::shared_ptr<Link> const& link, int side, std::string const& bytes) {
+  int const to = link->who[1 - side];
+  Machine& b = *machines[static_cast<std::size_t>(to)];
+  if (!link->open || !b.up() || b.life != link->life[1 - side]) return;
+  if (cut(*machines[static_cast<std::size_t>(link->who[side])], b)) {
+    if (link->held[0].empty() && link->held[1].empty()) stalled.push_back(link);
+    link->held[side].push_back(bytes);
+    return;
+  }
+  WireId const id = link->wire[1 - side];
+  if (!b.wires.count(id)) return;
+  std::size_t const kind = kind_of(bytes);
+  if (phase != nullptr) {
+    Count& count = phase->count[static_cast<std::size_t>(b.role)];
+    ++count.frames_in[kind];
+    count.bytes_in[kind] += bytes.size();
+  }
+  enter(
+      to, b.life, Step::wire, [id, &bytes](Machine& x, Micros t, NodeOut& out) { x.node->bytes(id, bytes, t, out); },
+      static_cast<int>(kind));
+}
+
+void Scale::carry(int who, WireId id, std::string bytes) {
+  Machine& m = *machines[static_cast<std::size_t>(who)];
+  std::unordered_map<WireId, std::pair<std::shared_ptr<Link>, int>>::const_iterator const spot = m.wires.find(id);
+  if (spot == m.wires.end()) return;
+  std::pair<std::shared_ptr<Link>, int> const end = spot->second;
+  Machine const& far = *machines[static_cast<std::size_t>(end.first->who[1 - end.second])];
+  bool const reborn = far.up() && far.life != end.first->life[1 - end.second];
+  if (!end.first->open || reborn) {
+    // The other end is gone, or its machine lives anew and knows nothing of this wire: writing finds that out.
+    end.first->open = false;
+    m.wires.erase(id);
+    std::uint64_t const life = m.life;
+    after(2 * lag(m, far), [this, who, life, id] {
+      enter(who, life, Step::wire, [id](Machine& x, Micros t, NodeOut& out) { x.node->shut(id, t, out); });
+    });
+    return;
+  }
+  if (phase != nullptr) {
+    std::size_t const kind = kind_of(bytes);
+    Count& count = phase->count[static_cast<std::size_t>(m.role)];
+    ++count.frames_out[kind];
+    count.bytes_out[kind] += bytes.size();
+  }
+  pass(end.first, end.second, std::move(bytes));
+}
+
+void Scale::heal() {
+  zone_cut.clear();
+  healed_at = now;
+  std::vector<std::weak_ptr<Link>> const list = std::move(stalled);
+  stalled.clear();
+  for (std::weak_ptr<Link> const& item : list)
+    if (std::shared_ptr<Link> const link = item.lock())
+      for (int side = 0; side < 2; ++side) {
+        std::vector<std::string> const held = std::move(link->held[side]);
+        link->held[side].clear();
+        if (!link->open) continue;
+        for (std::string const& bytes : held) pass(link, side, bytes);
+      }
+}
+
+void Scale::obey(int who, NodeOut& out) {
+  Machine& m = *machines[static_cast<std::size_t>(who)];
+  std::uint64_t const life = m.life;
+  if (out.save)
+    after(between(500, 6000), [this, who, life, record = std::move(*out.save)] {
+      Machine& b = *machines[static_cast<std::size_t>(who)];
+      if (!b.up() || b.life != life) return;
+      b.disk = record;
+      enter(who, life, Step::wire, [](Machine& x, Micros t, NodeOut& o) { x.node->disk_done(t, o); });
+    });
+  for (std::string const& address : out.mesh.dials) dial(who, address);
+  for (Sends::Send& send : out.mesh.sends) carry(who, send.wire, std::move(send.bytes));
+  for (WireId const id : out.mesh.shuts) {
+    std::unordered_map<WireId, std::pair<std::shared_ptr<Link>, int>>::const_iterator const spot = m.wires.find(id);
+    if (spot == m.wires.end()) continue;
+    std::pair<std::shared_ptr<Link>, int> const end = spot->second;
+    hang(end.first, end.second);
+    m.wires.erase(id);
+  }
+  for (Start const& start : out.desk.starts) {
+    std::uint64_t const errand = start.errand;
+    m.node->leg_sent(errand);
+    after(millis(30), [this, who, life, errand] {
+      Machine& b = *machines[static_cast<std::size_t>(who)];
+      if (b.up() && b.life == life) b.node->leg_began(errand);
+    });
+    after(answer_span, [this, who, life, errand] {
+      ++answered;
+      enter(who, life, Step::errand,
+            [errand](Machine& x, Micros t, NodeOut& o) { x.node->leg_ended(errand, LegEnd::done, "", 0, t, o); });
+    });
+  }
+  for (Verdict const& verdict : out.desk.ends) ++refused[kind_row(verdict.fault.kind).name];
+  for (Reply const& reply : out.replies) {
+    bool const holds = reply.outcome.sort == Outcome::Sort::chosen;
+    for (std::vector<Turn>::iterator it = turns.begin(); it != turns.end();) {
+      if (it->yes >= 0 || reply.change != it->id) {
+        ++it;
+        continue;
+      }
+      it->yes = now;
+      if (holds) yes_after.push_back(now - it->at);
+      it = holds ? std::next(it) : turns.erase(it);
+    }
+  }
+  bool const away = !zone_cut.empty() && m.zone == zone_cut;
+  if (out.read_list)
+    after(away ? seconds(1) : between(millis(3), millis(40)), [this, who, life, away] {
+      enter(who, life, Step::list, [this, away](Machine& x, Micros t, NodeOut& o) {
+        if (away)
+          x.node->list(std::nullopt, false, t, o);
+        else
+          x.node->list(*rows, true, t, o);
+      });
+    });
+  if (out.checks.empty()) return;
+  if (phase != nullptr) phase->count[static_cast<std::size_t>(m.role)].checks += out.checks.size();
+  std::vector<Check> near, far;
+  for (Check& check : out.checks) {
+    bool mute = false;
+    if (!zone_cut.empty()) {
+      std::size_t const n = static_cast<std::size_t>(std::stoi(check.worker.substr(1)) - 1) % zones.size();
+      mute = (zones[n] == zone_cut) != (m.zone == zone_cut);
+    }
+    (mute ? far : near).push_back(std::move(check));
+  }
+  for (bool const mute : {false, true}) {
+    std::vector<Check>& list = mute ? far : near;
+    if (list.empty()) continue;
+    after(mute ? seconds(1) : between(millis(1), millis(15)), [this, who, life, mute, list = std::move(list)] {
+      for (Check const& check : list)
+        enter(who, life, Step::vitals, [this, &check, mute](Machine& x, Micros t, NodeOut& o) {
+          std::optional<Vitals> report;
+          if (!mute) {
+            report.emplace();
+            report->incarnation = 1;
+            report->awake = now + seconds(3600);
+          }
+          x.node->vitals(check, report, false, t, o);
+        });
+    });
+  }
+}
+
+void Scale::call(int who, std::uint64_t life) {
+  Machine& m = *machines[static_cast<std::size_t>(who)];
+  if (!m.up() || m.life != life) return;
+  Micros const gap = static_cast<Micros>(1e6 / plan.rate);
+  after(gap / 2 + between(0, std::max<Micros>(2, gap)), [this, who, life] { call(who, life); });
+  if (!calling || !m.node->ready() || phase == nullptr) return;
+  ++asked;
+  Ask ask;
+  ask.facts.model = "tribute";
+  ask.facts.user = "someone";
+  ask.facts.size = 5000;
+  std::uint64_t const session = plan.sessions > 0 ? 1 + dice.below(static_cast<std::uint64_t>(plan.sessions)) : 0;
+  std::uint64_t const prefixes = static_cast<std::uint64_t>(std::max(1, plan.prefixes));
+  ask.path = path(session > 0 ? session % prefixes : dice.below(prefixes), session);
+  ask.path.push_back(stir(ask.path.back() ^ dice.roll()));
+  std::uint64_t const errand = ++m.errands;
+  enter(who, life, Step::errand,
+        [errand, &ask](Machine& x, Micros t, NodeOut& out) { x.node->errand(errand, std::move(ask), t, out); });
+}
+
+void Scale::change() {
+  std::vector<int> field;
+  for (int i = plan.keepers; i < plan.nodes; ++i)
+    if (machines[static_cast<std::size_t>(i)]->up()) field.push_back(i);
+  if (field.empty()) return;
+  int const who = field[dice.below(field.size())];
+  Machine& m = *machines[static_cast<std::size_t>(who)];
+  Change item;
+  item.sort = Change::Sort::apply;
+  item.text = description(++turn);
+  item.expected = m.node->learner.serial();
+  item.id = "c" + std::to_string(turn);
+  Turn made;
+  made.id = item.id;
+  made.at = now;
+  made.serial = item.expected + 1;
+  for (int i = 0; i < plan.nodes; ++i)
+    if (machines[static_cast<std::size_t>(i)]->up()) made.pending.insert(i);
+  turns.push_back(std::move(made));
+  enter(who, m.life, Step::operate,
+        [&item](Machine& x, Micros t, NodeOut& out) { x.node->operate(1, std::move(item), t, out); });
+}
+
+// Who holds whom for not alive, every tenth of a second. What was ended, started or cut off a short while ago, or is
+// held so by one that was, is no false suspicion.
+void Scale::look() {
+  bool const cut_lately = !zone_cut.empty() || now - healed_at < seconds(6);
+  for (int i = 0; i < plan.nodes; ++i) {
+    Machine const& m = *machines[static_cast<std::size_t>(i)];
+    if (!m.up()) continue;
+    for (std::pair<std::string const, Peer> const& item : m.node->mesh.roll.peers) {
+      int const j = by_name.at(item.first);
+      std::pair<int, int> const pair{i, j};
+      if (item.second.state() == State::alive) {
+        if (!suspected.empty()) suspected.erase(pair);
+        continue;
+      }
+      unwell_at = now;
+      Machine const& other = *machines[static_cast<std::size_t>(j)];
+      bool const told = !other.up() || now - other.troubled < seconds(6) || now - m.troubled < seconds(6) || cut_lately;
+      if (!suspected.insert(pair).second || told) continue;
+      ++suspicions;
+    }
+  }
+  after(look_gap, [this] { look(); });
+}
+
+bool Scale::all_ready() const {
+  for (std::unique_ptr<Machine> const& m : machines)
+    if (!m->up() || !m->node->ready()) return false;
+  return true;
+}
+
+bool Scale::all_alive() const {
+  for (std::unique_ptr<Machine> const& m : machines) {
+    if (!m->up()) return false;
+    if (m->node->mesh.roll.peers.size() + 1 != machines.size()) return false;
+    for (std::pair<std::string const, Peer> const& item : m->node->mesh.roll.peers)
+      if (item.second.state() != State::alive || item.second.wire == 0) return false;
+  }
+  return true;
+}
+
+// Runs events until a moment, or until something holds, which is looked at every tenth of a second. False when the
+// processor time of the run is used up.
+bool Scale::go_until(Micros when, std::function<bool()> const& done) {
+  std::uint64_t n = 0;
+  Micros next_look = now;
+  while (!events.empty() && events.top().at <= when) {
+    if (++n % 256 == 0 && processor() - started > plan.limit * 1000) {
+      stopped = "its processor time of " + std::to_string(plan.limit / 1000000) + " s is used up";
+      return false;
+    }
+    Event_ item = events.top();
+    events.pop();
+    now = std::max(now, item.at);
+    item.act();
+    if (done && now >= next_look) {
+      next_look = now + look_gap;
+      if (done()) return true;
+    }
+  }
+  now = std::max(now, when);
+  return true;
+}
+
+void Scale::begin(std::string const& name) {
+  if (phase != nullptr) phase->to = now;
+  phases.emplace_back(name, Phase());
+  phase = &phases.back().second;
+  phase->from = now;
+}
+
+void Scale::tell_phase(std::string const& name, Phase const& item, Figures& out) const {
+  double const span = static_cast<double>(item.to - item.from) / 1e6;
+  static char const* const steps[] = {"tick", "list", "vitals", "errand", "wire", "operate"};
+  for (Role const role : {Role::passage, Role::accord}) {
+    int const n = role == Role::accord ? plan.keepers : plan.nodes - plan.keepers;
+    double const per = span * n;
+    if (per <= 0) continue;
+    std::string const head = name + "." + (role == Role::accord ? "keeper" : "router") + ".";
+    Count const& count = item.count[static_cast<std::size_t>(role)];
+    double frames_in = 0, frames_out = 0, bytes_in = 0, bytes_out = 0, nanos = 0;
+    for (std::size_t i = 0; i < kinds; ++i) {
+      frames_in += static_cast<double>(count.frames_in[i]);
+      frames_out += static_cast<double>(count.frames_out[i]);
+      bytes_in += static_cast<double>(count.bytes_in[i]);
+      bytes_out += static_cast<double>(count.bytes_out[i]);
+    }
+    for (std::int64_t const v : count.nanos) nanos += static_cast<double>(v);
+    out.add(head + "cpu_us", nanos / 1000 / per);
+    out.add(head + "frames_in", frames_in / per);
+    out.add(head + "frames_out", frames_out / per);
+    out.add(head + "bytes_in", bytes_in / per);
+    out.add(head + "bytes_out", bytes_out / per);
+    for (std::size_t i = 0; i < static_cast<std::size_t>(Step::count); ++i)
+      if (i != static_cast<std::size_t>(Step::wire) && count.nanos[i] > 0)
+        out.add(head + "cpu_us." + steps[i], static_cast<double>(count.nanos[i]) / 1000 / per);
+    for (std::size_t i = 0; i < kinds; ++i) {
+      if (count.frames_in[i] == 0 && count.frames_out[i] == 0) continue;
+      std::string const kind = wire::EnumNameBody(static_cast<wire::Body>(i));
+      out.add(head + "frames_out." + kind, static_cast<double>(count.frames_out[i]) / per);
+      out.add(head + "bytes_out." + kind, static_cast<double>(count.bytes_out[i]) / per);
+      out.add(head + "bytes_in." + kind, static_cast<double>(count.bytes_in[i]) / per);
+      out.add(head + "cpu_us.in." + kind, static_cast<double>(count.nanos_in[i]) / 1000 / per);
+    }
+    if (role == Role::passage) out.add(head + "vitals_asked", static_cast<double>(count.checks) / per);
+    if (count.dials > 0) out.add(head + "dials", static_cast<double>(count.dials) / per);
+  }
+  out.add(name + ".seconds", span);
+}
+
+void Scale::finish(Figures& out) {
+  if (phase != nullptr) phase->to = now;
+  phase = nullptr;
+  for (std::pair<std::string, Phase> const& item : phases) tell_phase(item.first, item.second, out);
+  for (int silent = 0; silent < 2; ++silent) {
+    if (detected[silent].empty()) continue;
+    std::string const head = silent == 1 ? "detect.silent_ms." : "detect.ended_ms.";
+    out.add(head + "p50", share(detected[silent], 0.5));
+    out.add(head + "max", share(detected[silent], 1));
+  }
+  for (Kill const& kill : kills) missed += kill.pending.size();
+  if (!kills.empty()) out.add("detect.missed", static_cast<double>(missed));
+  out.add("false_suspicions", static_cast<double>(suspicions));
+  if (!everywhere_after.empty()) {
+    out.add("change.yes_ms.p50", share(yes_after, 0.5));
+    out.add("change.everywhere_ms.p50", share(everywhere_after, 0.5));
+    out.add("change.everywhere_ms.max", share(everywhere_after, 1));
+  }
+  out.add("requests", static_cast<double>(asked));
+  for (std::pair<std::string const, std::uint64_t> const& item : refused)
+    out.add("requests." + item.first, static_cast<double>(item.second));
+  // What a node holds is what the heap is less by when the node is gone.
+  events = {};
+  for (Role const role : {Role::passage, Role::accord}) {
+    int n = 0;
+    std::int64_t const full = heap();
+    for (std::unique_ptr<Machine> const& m : machines)
+      if (m->role == role && m->up()) ++n, m->node.reset();
+    if (n > 0)
+      out.add(std::string("heap.") + (role == Role::accord ? "keeper" : "router") + "_bytes",
+              static_cast<double>(full - heap()) / n);
+  }
+}
+
+Figures Scale::run() {
+  hush(true);
+  started = processor();
+  Figures out;
+  for (int i = 0; i < plan.nodes; ++i) after(between(0, seconds(1)), [this, i] { boot(i); });
+  after(look_gap, [this] { look(); });
+  begin("start");
+  std::function<bool(char const*)> const wants = [this](char const* name) {
+    return std::find(plan.phases.begin(), plan.phases.end(), name) != plan.phases.end();
+  };
+  bool more = go_until(seconds(180), [this] { return all_ready() && all_alive(); });
+  if (more && !all_ready()) stopped = "after 180 s not every node was ready", more = false;
+  if (more) out.add("start.ready_s", static_cast<double>(now) / 1e6);
+  if (more) {
+    change();
+    more = go_until(now + seconds(20), [this] { return !everywhere_after.empty(); });
+  }
+  if (more && everywhere_after.empty()) stopped = "the first description did not get everywhere", more = false;
+  everywhere_after.clear();
+  yes_after.clear();
+  turns.clear();
+  suspicions = 0;
+  if (more) {
+    for (std::unique_ptr<Machine>& m : machines) fill(*m);
+    more = go_until(now + seconds(3));
+  }
+  calling = true;
+  Micros const calm_from = now;
+  if (more) begin("calm"), more = go_until(calm_from + plan.span);
+  if (more && wants("change")) {
+    begin("change");
+    Micros const from = now;
+    for (Micros t = 0; t + seconds(2) <= plan.span; t += seconds(2)) at(from + t, [this] { change(); });
+    more = go_until(from + plan.span);
+    out.add("change.count", static_cast<double>(turns.size()));
+  }
+  if (more && wants("restart")) {
+    begin("restart");
+    Micros const from = now;
+    int const routers = plan.nodes - plan.keepers;
+    int const count = std::max(2, std::min(12, routers / 4));
+    for (int i = 0; i < count; ++i) {
+      int const who = plan.keepers + (i * routers / count) % routers;
+      at(from + plan.span * i / count, [this, who, i] {
+        Kill kill;
+        kill.who = who;
+        kill.at = now;
+        kill.silent = i % 2 == 1;
+        halt(who, kill.silent);
+        for (int j = 0; j < plan.nodes; ++j)
+          if (machines[static_cast<std::size_t>(j)]->up()) kill.pending.insert(j);
+        kills.push_back(std::move(kill));
+        after(seconds(6), [this, who] {
+          boot(who);
+          for (Kill& past : kills)
+            if (past.who == who) missed += past.pending.size(), past.pending.clear();
+        });
+      });
+    }
+    more = go_until(from + plan.span + seconds(12));
+    out.add("restart.count", count);
+  }
+  if (more && wants("cut")) {
+    begin("cut");
+    Micros const from = now;
+    zone_cut = zones[4 % zones.size()];
+    more = go_until(from + plan.span);
+    heal();
+    Micros const healed = now;
+    if (more) more = go_until(healed + seconds(40), [this] { return all_alive() && all_ready(); });
+    if (more) out.add("cut.whole_again_ms", static_cast<double>(now - healed) / 1000);
+    if (more) more = go_until(now + seconds(8));
+  }
+  if (more && wants("region")) {
+    // Every machine of one region loses its power, and all of them return in one second.
+    begin("region");
+    Micros const from = now;
+    std::vector<int> lost;
+    for (int i = plan.keepers; i < plan.nodes; ++i)
+      if (machines[static_cast<std::size_t>(i)]->region == 3) lost.push_back(i);
+    for (int const who : lost) halt(who, true);
+    more = go_until(from + plan.span);
+    for (int const who : lost) after(between(0, seconds(1)), [this, who] { boot(who); });
+    Micros const back = now;
+    if (more) more = go_until(back + seconds(60), [this] { return all_alive() && all_ready(); });
+    if (more) out.add("region.whole_again_ms", static_cast<double>(now - back) / 1000);
+    out.add("region.nodes", static_cast<double>(lost.size()));
+    if (more) more = go_until(now + seconds(4));
+  }
+  out.add("processor_s", static_cast<double>(processor() - started) / 1e9);
+  finish(out);
+  return out;
+}
+
+}  // namespace pipit
