--- a/src/flow/fleet/fleet.cc
+++ b/src/flow/fleet/fleet.cc
@@ -307,9 +307,17 @@
 }
 
 std::string rendezvous(std::string const& key, std::set<std::string> const& names) {
-  for (std::string const& name : names)
-    if (rendezvous_rank(key, name, names) == 0) return name;
-  return "";
+  std::uint64_t const seed = mix(key);
+  std::string const* first = nullptr;
+  std::uint64_t most = 0;
+  // Of equal hashes the name that sorts first goes before, as in rendezvous_rank().
+  for (std::string const& name : names) {
+    std::uint64_t const own = mix(name, seed);
+    if (first != nullptr && own <= most) continue;
+    first = &name;
+    most = own;
+  }
+  return first == nullptr ? "" : *first;
 }
 
 }  // namespace pipit
