--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -209,7 +209,8 @@
     case wire::Body::TreePage:
       if (plan.role == Role::passage)
         tide.take(
-            from, body, now, [this](std::string const& model) { return bounds(model); }, tide_peers(), letters);
+            from, body, now, [this](std::string const& model) { return bounds(model); },
+            [this] { return tide_peers(); }, letters);
       break;
     default:
       break;
--- a/src/flow/index/tide.cc
+++ b/src/flow/index/tide.cc
@@ -79,19 +79,20 @@
 }
 
 void Tide::take(std::string const& from, wire::BodyUnion const& body, Micros now, BoundsOf const& bounds,
-                std::vector<std::string> const& peers, std::vector<Letter>& out) {
+                PeersOf const& peers, std::vector<Letter>& out) {
   if (wire::DeltasT const* const batch = body.AsDeltas()) {
     Index& tree = trees[batch->model];
+    Index::Bounds const bound = bounds(batch->model);
     bool lost = false;
     for (std::unique_ptr<wire::DeltaT> const& delta : batch->list)
-      if (!tree.apply(*delta, bounds(batch->model), now)) lost = true;
+      if (!tree.apply(*delta, bound, now)) lost = true;
     Pull& pull = pulling[batch->model];
     // Unknown paths that come while a pull is under way are folded into it; pulls of a model keep a distance.
     if (lost && !pull.live && now - pull.ended >= pull_gap) {
       pull.live = true;
       pull.tries = 0;
       ++pulls;
-      ask(batch->model, pull, now, peers, out);
+      ask(batch->model, pull, now, peers(), out);
     }
     return;
   }
@@ -124,7 +125,8 @@
     Pull& pull = spot->second;
     if (!pull.live || pull.from != from || pull.number != page->pull || pull.page != page->page) return;
     Index& tree = trees[page->model];
-    for (std::unique_ptr<wire::CrumbT> const& crumb : page->list) tree.learn(*crumb, bounds(page->model), now);
+    Index::Bounds const bound = bounds(page->model);
+    for (std::unique_ptr<wire::CrumbT> const& crumb : page->list) tree.learn(*crumb, bound, now);
     pull.moved = now;
     if (page->last) {
       pull.live = false;
--- a/src/flow/index/tide.h
+++ b/src/flow/index/tide.h
@@ -16,6 +16,7 @@
   explicit Tide(std::uint64_t seed) : dice(seed) {}
 
   using BoundsOf = std::function<Index::Bounds(std::string const& model)>;
+  using PeersOf = std::function<std::vector<std::string>()>;
 
   Index& index(std::string const& model) { return trees[model]; }
   std::map<std::string, Index> const& all() const { return trees; }
@@ -24,8 +25,13 @@
   void round(Micros now, std::vector<std::pair<std::string, std::vector<std::string>>> const& peers,
              BoundsOf const& bounds, std::vector<Letter>& out);
   void tick(Micros now, std::vector<std::string> const& peers, std::vector<Letter>& out);
+  // 'peers' is asked only when a tree must be pulled; the bounds once for a batch.
   void take(std::string const& from, wire::BodyUnion const& body, Micros now, BoundsOf const& bounds,
-            std::vector<std::string> const& peers, std::vector<Letter>& out);
+            PeersOf const& peers, std::vector<Letter>& out);
+  void take(std::string const& from, wire::BodyUnion const& body, Micros now, BoundsOf const& bounds,
+            std::vector<std::string> const& peers, std::vector<Letter>& out) {
+    take(from, body, now, bounds, PeersOf([&peers] { return peers; }), out);
+  }
   void forget(std::string const& worker);
 
   std::uint64_t dropped = 0;  // deltas that found the backlog full
