--- a/src/kin/mesh.cc
+++ b/src/kin/mesh.cc
@@ -7,6 +7,10 @@
 
 namespace pipit {
 
+namespace {
+constexpr std::uint64_t whole_table = 16;  // one in so many tables of pings and answers is whole
+}  // namespace
+
 Mesh::Mesh(MeshPlan plan_, wire::MemberT self, std::uint64_t seed)
     : roll(self), ledger(self.name), plan(std::move(plan_)), dice(seed) {
   for (std::string const& address : plan.seeds)
@@ -165,6 +169,16 @@
   }
 }
 
+std::vector<std::unique_ptr<wire::MemberT>> Mesh::table_for(WireId id, bool whole) {
+  // A wire keeps its order and loses nothing, so what was told on it need not be told again; the whole table once in
+  // a while mends what a peer has dropped since (§3.3).
+  std::map<WireId, Wire>::iterator const wire = wires.find(id);
+  if (wire == wires.end()) return roll.table();
+  std::uint64_t const since = whole || ++tables % whole_table == 0 ? 0 : wire->second.told;
+  wire->second.told = roll.version;
+  return roll.table(since);
+}
+
 void Mesh::probe(Peer& peer, Micros now, Sends& out) {
   for (std::pair<std::uint64_t const, Probe> const& item : probes)
     if (item.second.peer == peer.member.name) return;
@@ -176,7 +190,7 @@
   }
   wire::PingT ping;
   ping.seq = seq;
-  ping.table = roll.table();
+  ping.table = table_for(peer.wire, false);
   post(peer.member.name, std::move(ping), out);
 }
 
@@ -324,7 +338,7 @@
   ledger.owe_all(name);
   // §3.3: the peer learns what is said of it, and answers with a higher bump if it is wrong.
   wire::NewsT news;
-  news.table = roll.table();
+  news.table = table_for(id, true);
   post(name, std::move(news), out);
   flush_entries(out);
 }
@@ -362,7 +376,7 @@
       take_table(ping.table, now, out);
       wire::PongT pong;
       pong.seq = ping.seq;
-      pong.table = roll.table();
+      pong.table = table_for(id, false);
       out.sends.push_back({id, encode_body(std::move(pong))});
       return "";
     }
@@ -383,10 +397,12 @@
     }
     case wire::Body::PingReq: {
       wire::PingReqT const& req = *frame.body.AsPingReq();
+      std::map<std::string, Peer>::const_iterator const target = roll.peers.find(req.target);
+      if (target == roll.peers.end() || target->second.wire == 0) return "";
       std::uint64_t const seq = ++next_seq;
       wire::PingT ping;
       ping.seq = seq;
-      ping.table = roll.table();
+      ping.table = table_for(target->second.wire, false);
       if (post(req.target, std::move(ping), out)) relays[seq] = Relay{id, req.seq, now + plan.probe};
       return "";
     }
--- a/src/kin/mesh.h
+++ b/src/kin/mesh.h
@@ -73,6 +73,7 @@
     Micros opened = 0;
     Micros heard = 0;
     std::uint64_t life = 0;  // the peer's incarnation when it greeted
+    std::uint64_t told = 0;  // the roll's version that the last table on it brought
   };
   struct Probe {
     std::string peer;
@@ -92,6 +93,8 @@
   };
 
   void greet(WireId id, wire::HelloT const& hello, Micros now, Sends& out);
+  // The table for a ping, its answer or a greeting: what changed since the last one on that wire, now and then all.
+  std::vector<std::unique_ptr<wire::MemberT>> table_for(WireId id, bool whole);
   void take_table(std::vector<std::unique_ptr<wire::MemberT>> const& table, Micros now, Sends& out);
   void probe(Peer& peer, Micros now, Sends& out);
   void probe_failed(std::string const& name, Micros now, Sends& out);
@@ -106,6 +109,7 @@
   Dice dice;
   Micros next_round = 0;
   std::uint64_t next_seq = 0;
+  std::uint64_t tables = 0;  // that pings and their answers took along
   std::map<WireId, Wire> wires;
   std::map<std::uint64_t, Probe> probes;
   std::map<std::uint64_t, Relay> relays;
--- a/src/kin/roll/roll.cc
+++ b/src/kin/roll/roll.cc
@@ -53,6 +53,7 @@
     peer.member = item;
     peer.since = now;
     peer.bare_since = now;
+    peer.version = ++version;
     peers.emplace(item.name, std::move(peer));
     announce(item.name, static_cast<State>(item.state));
     return News::fresh;
@@ -61,6 +62,10 @@
   if (rank(item) <= rank(peer.member)) return News::none;
   State const old = peer.state();
   if (item.incarnation > peer.member.incarnation) peer.refuse(false, now);
+  // A higher bump alone, as with each change of the register, is told by the peer itself to whom it has a wire.
+  if (item.incarnation != peer.member.incarnation || item.state != peer.member.state ||
+      item.address != peer.member.address)
+    peer.version = ++version;
   if (item.address != peer.member.address) {
     peer.next_dial = 0;
     peer.dialling = false;  // what is under way goes to the old address, and its end will not be known for this peer's
@@ -77,6 +82,7 @@
   if (peer.state() == state) return;
   peer.member.state = static_cast<std::uint8_t>(state);
   peer.since = now;
+  peer.version = ++version;
   announce(peer.member.name, state);
 }
 
@@ -87,6 +93,7 @@
   // A life that this node has not heard of: dialled on, and no older proof that nobody is there holds for it.
   Peer& peer = peers[item.name];
   bool const fresh = peer.member.name.empty();
+  if (fresh || peer.wire == 0 || peer.member.address != item.address) peer.version = ++version;
   if (fresh) {
     peer.member.name = item.name;
     peer.member.role = static_cast<std::uint8_t>(Role::passage);
@@ -116,11 +123,11 @@
   }
 }
 
-std::vector<std::unique_ptr<wire::MemberT>> Roll::table() const {
+std::vector<std::unique_ptr<wire::MemberT>> Roll::table(std::uint64_t since) const {
   std::vector<std::unique_ptr<wire::MemberT>> out;
   out.push_back(std::make_unique<wire::MemberT>(self));
   for (std::pair<std::string const, Peer> const& item : peers)
-    out.push_back(std::make_unique<wire::MemberT>(item.second.member));
+    if (since == 0 || item.second.version > since) out.push_back(std::make_unique<wire::MemberT>(item.second.member));
   return out;
 }
 
--- a/src/kin/roll/roll.h
+++ b/src/kin/roll/roll.h
@@ -23,6 +23,7 @@
   bool dialling = false;
   bool refused = false;  // its address refused a dial since it was last heard: no process is there
   Micros refused_at = -1;  // since when
+  std::uint64_t version = 0;  // the roll's, when its life, state or address last changed here
   void refuse(bool no, Micros now) {
     if (no != refused) refused_at = now;
     refused = no;
@@ -40,7 +41,8 @@
   News merge(wire::MemberT const& item, Micros now);
   // This node's own finding about a peer.
   void mark(Peer& peer, State state, Micros now);
-  std::vector<std::unique_ptr<wire::MemberT>> table() const;
+  // This node's own record, and those of peers whose life, state or address changed here after a version; 0 gives all.
+  std::vector<std::unique_ptr<wire::MemberT>> table(std::uint64_t since = 0) const;
   void forget(Micros now, Micros age);
   // What the register says of router nodes: their seats, and those that were struck (§5.9).
   void seat(wire::SeatT const& item, Micros now);
@@ -49,6 +51,7 @@
   void unstrike(std::string const& name) { struck.erase(name); }
 
   wire::MemberT self;
+  std::uint64_t version = 0;  // counts those changes
   std::map<std::string, Peer> peers;
   std::map<std::string, std::uint64_t> struck;  // names, with the incarnation that was struck
 
--- a/tests/mesh.cc
+++ b/tests/mesh.cc
@@ -114,6 +114,38 @@
   EXPECT_EQ(roll.self.incarnation, 10u);
 }
 
+TEST(Roll, a_table_brings_what_changed_since) {
+  wire::MemberT self;
+  self.name = "a";
+  self.incarnation = 5;
+  Roll roll(self);
+  wire::MemberT peer = *hello("c", "b").self;
+  EXPECT_EQ(roll.merge(peer, 0), Roll::News::fresh);
+  std::uint64_t const first = roll.version;
+  EXPECT_EQ(roll.table().size(), 2u);
+  EXPECT_EQ(roll.table(first).size(), 1u) << "its own record alone";
+  ++peer.bump;
+  peer.turn = 9;
+  EXPECT_EQ(roll.merge(peer, 0), Roll::News::fresh);
+  EXPECT_EQ(roll.table(first).size(), 1u) << "a newer turn is told by the peer itself";
+  roll.mark(roll.peers.at("b"), State::suspected, 1);
+  ASSERT_EQ(roll.table(first).size(), 2u);
+  std::uint64_t const second = roll.version;
+  ++peer.bump;
+  EXPECT_EQ(roll.merge(peer, 2), Roll::News::fresh);
+  EXPECT_EQ(roll.table(second).size(), 2u) << "a contradicted suspicion gets round";
+}
+
+TEST(Rendezvous, the_first_name_is_the_one_of_rank_0) {
+  std::set<std::string> names;
+  EXPECT_EQ(rendezvous("w", names), "");
+  for (int i = 0; i < 40; ++i) names.insert("p" + std::to_string(i));
+  for (int i = 0; i < 300; ++i) {
+    std::string const key = "w" + std::to_string(i);
+    EXPECT_EQ(rendezvous_rank(key, rendezvous(key, names), names), 0u);
+  }
+}
+
 TEST(Grants, rivals_step_aside_until_one_holds) {
   Ring ring;
   for (char const* const name : {"k1", "k2", "k3"}) {
