--- a/proof/hollow/scale.cc
+++ b/proof/hollow/scale.cc
@@ -2,6 +2,7 @@
 #include "proof/hollow/scale.h"
 
 #include <malloc.h>
+#include <sys/resource.h>
 #include <time.h>
 
 #include <algorithm>
@@ -53,12 +54,12 @@
 
 std::vector<std::string> Scale::phase_names() { return {"calm", "change", "restart", "cut", "region"}; }
 
-// Fits of measured runs, half as much again: a fleet that outgrows them is refused too early, not too late.
+// Lines of measured runs (docs/CAPACITY.md), half as much again: what outgrows them is refused too early, not too late.
 double bytes_for(ScalePlan const& plan) {
   double const n = plan.nodes, w = plan.workers;
   double const blocks = static_cast<double>(plan.prefixes) * (prefix_blocks + 1) +
                         static_cast<double>(plan.sessions) * (session_blocks + 1);
-  double const node = 300e3 + 4000 * n + 2200 * w + 90 * w * n + 330 * blocks + 2500 * plan.routes;
+  double const node = 500e3 + 50e3 * n + 2000 * w + 200 * blocks + 1200 * plan.routes;
   return 1.5 * n * node;
 }
 
@@ -730,6 +731,10 @@
     if (more) more = go_until(now + seconds(4));
   }
   out.add("processor_s", static_cast<double>(processor() - started) / 1e9);
+  // Of the whole process, the machines' side with it, and never less than for a size that ran before.
+  struct rusage use{};
+  getrusage(RUSAGE_SELF, &use);
+  out.add("process_peak_mb", static_cast<double>(use.ru_maxrss) / 1024);
   finish(out);
   return out;
 }
