--- a/proof/hollow/fit.h
+++ b/proof/hollow/fit.h
@@ -5,9 +5,10 @@
 
 namespace pipit {
 
-// y = base + slope * x^power, both terms at least 0.
+// y = base * x^low + slope * x^power: a constant or a line, and a term that grows faster, which is at least 0.
 struct Fit {
   double base = 0;
+  int low = 0;
   double slope = 0;
   int power = 1;
   double error = 0;   // the largest distance from a point, as a part of that point
@@ -16,7 +17,7 @@
   std::string words(std::string const& name) const;
 };
 
-// Least squares of the relative distances, over the powers 1 to 'most'. Points that are 0 do not count.
-Fit fit(std::vector<double> const& x, std::vector<double> const& y, int most = 3);
+// Least squares of the relative distances, over the pairs of powers 0,1 0,2 0,3 and 1,2. Points that are 0 do not count.
+Fit fit(std::vector<double> const& x, std::vector<double> const& y);
 
 }  // namespace pipit
--- a/proof/hollow/main.cc
+++ b/proof/hollow/main.cc
@@ -172,7 +172,7 @@
     std::printf("lines over %s:", swept->name);
     for (double const v : x) std::printf(" %g", v);
     std::printf("; error: the largest distance; ahead: how far the line through all but the last misses the last\n");
-    std::printf("  %-40s %-34s %7s %7s", "", "line", "error", "ahead");
+    std::printf("  %-40s %-36s %7s %7s", "", "line", "error", "ahead");
     for (double const place : places) std::printf(" %11s", ("at " + std::to_string(static_cast<long>(place))).c_str());
     std::printf("\n");
     for (std::pair<std::string, double> const& row : found.back().rows) {
@@ -180,7 +180,7 @@
       std::vector<double> y;
       for (Figures const& figures : found) y.push_back(std::max(0.0, figures.of(row.first)));
       Fit const line = fit(x, y);
-      std::printf("  %-40s %-34s %6.0f%% %6.0f%%", row.first.c_str(), line.words(swept->name).c_str(), line.error * 100,
+      std::printf("  %-40s %-36s %6.0f%% %6.0f%%", row.first.c_str(), line.words(swept->name).c_str(), line.error * 100,
                   line.ahead * 100);
       for (double const place : places) std::printf(" %11.5g", line.at(place));
       std::printf("\n");
--- a/proof/hollow/scale.cc
+++ b/proof/hollow/scale.cc
@@ -59,7 +59,9 @@
   double const n = plan.nodes, w = plan.workers;
   double const blocks = static_cast<double>(plan.prefixes) * (prefix_blocks + 1) +
                         static_cast<double>(plan.sessions) * (session_blocks + 1);
-  double const node = 500e3 + 50e3 * n + 2000 * w + 200 * blocks + 1200 * plan.routes;
+  // Every request adds a block to every index for as long as the run goes on.
+  double const lasts = 60 + static_cast<double>(plan.span) / 1e6 * static_cast<double>(1 + plan.phases.size());
+  double const node = 400e3 + 4e3 * n + 2000 * w + 200 * (blocks + plan.rate * n * lasts) + 1200 * plan.routes;
   return 1.5 * n * node;
 }
 
--- a/tests/hollow.cc
+++ b/tests/hollow.cc
@@ -19,6 +19,12 @@
   EXPECT_LT(line.error, 1e-6);
   EXPECT_LT(line.ahead, 1e-6);
   EXPECT_NEAR(line.at(1400), 40 + 3.0 * 1400 * 1400, 10);
+  y.clear();
+  for (double const v : x) y.push_back(44 * (v - 4));
+  EXPECT_NEAR(fit(x, y).at(1400), 44 * 1396, 1) << "a constant below 0";
+  y.clear();
+  for (double const v : x) y.push_back(20 * v + 0.5 * v * v);
+  EXPECT_NEAR(fit(x, y).at(1400), 20 * 1400 + 0.5 * 1400 * 1400, 10);
   Fit const level = fit(x, {7, 7, 7, 7, 7});
   EXPECT_NEAR(level.at(1400), 7, 0.01);
   EXPECT_EQ(fit(x, {0, 0, 0, 0, 0}).at(1400), 0);
