--- a/src/flow/fleet/fleet.cc
+++ b/src/flow/fleet/fleet.cc
@@ -2,6 +2,8 @@
 
 #include <simdjson.h>
 
+#include <algorithm>
+
 #include "ground/guards.h"
 #include "ground/events.h"
 #include "ground/ip.h"
@@ -206,8 +208,9 @@
   }
   worker->awake = report->awake;
   if (worker->dark) {
-    // §6.6: cold is what woke a short while ago, and what comes back from the dark.
-    worker->woke = worker->ever ? now : now - report->awake;
+    // §6.6: cold is what woke a short while ago, and what comes back from the dark. A worker that woke before this
+    // machine's clock began has been warm for all of it: below 0 would say that nothing is known.
+    worker->woke = worker->ever ? now : std::max<Micros>(0, now - report->awake);
     worker->dark = false;
     if (worker->ever) tell(Event::worker_back, id);
     worker->ever = true;
--- a/tests/index.cc
+++ b/tests/index.cc
@@ -1,8 +1,10 @@
-// The prefix index: what is believed kept, what is forgotten, and how indexes follow one another.
+// The prefix index: what is believed kept, what is forgotten, and how indexes follow one another; workers that are warm.
 #include <gtest/gtest.h>
 
 #include "flow/errand/parse.h"
+#include "flow/fleet/fleet.h"
 #include "flow/index/tide.h"
+#include "ground/events.h"
 
 namespace pipit {
 
@@ -77,6 +79,18 @@
   EXPECT_EQ(index.size(), 0u);
 }
 
+TEST(Fleet, a_worker_older_than_this_machine_s_clock_is_warm) {
+  hush(true);
+  Fleet fleet;
+  fleet.take_list({ListRow{"w", "10.0.0.1:1", "z", "main", 1, 60, false}}, seconds(100));
+  Vitals report;
+  report.incarnation = 1;
+  report.awake = seconds(3600);
+  EXPECT_GT(fleet.cold_for(*fleet.find("w"), seconds(5), seconds(101)), 0) << "nothing is known of it yet";
+  fleet.vitals("w", 1, seconds(100), report, false, seconds(101));
+  EXPECT_EQ(fleet.cold_for(*fleet.find("w"), seconds(5), seconds(101)), 0);
+}
+
 TEST(Tide, peers_agree_and_a_lost_batch_starts_one_pull_in_pages) {
   Tide a(1);
   Tide b(2);
