--- a/proof/hollow/fit.cc
+++ b/proof/hollow/fit.cc
@@ -43,6 +43,7 @@
 
 Fit fit_best(std::vector<double> const& x, std::vector<double> const& y) {
   Fit best = fit_powers(x, y, 0, 1);
+  if (x.size() < 4) return best;
   // Steeper ones only where they are clearly nearer.
   for (std::pair<int, int> const& powers : {std::pair<int, int>{1, 2}, {0, 2}, {0, 3}}) {
     Fit const next = fit_powers(x, y, powers.first, powers.second);
