--- a/proof/hollow/fit.h
+++ b/proof/hollow/fit.h
@@ -12,7 +12,7 @@
   double slope = 0;
   int power = 1;
   double error = 0;   // the largest distance from a point, as a part of that point
-  double ahead = -1;  // how far the line through all but the last point misses the last; -1 with fewer than four points
+  double ahead = -1;  // how far the line through all but the last point misses the last; -1 with less than four
   double at(double x) const;
   std::string words(std::string const& name) const;
 };
--- a/proof/hollow/scale.cc
+++ b/proof/hollow/scale.cc
@@ -61,8 +61,9 @@
                         static_cast<double>(plan.sessions) * (session_blocks + 1);
   // Every request adds a block to every index for as long as the run goes on.
   double const lasts = 60 + static_cast<double>(plan.span) / 1e6 * static_cast<double>(1 + plan.phases.size());
-  double const node = 400e3 + 4e3 * n + 2000 * w + 200 * (blocks + plan.rate * n * lasts) + 1200 * plan.routes;
-  return 1.5 * n * node;
+  double const any = 400e3 + 4e3 * n + 2000 * w + 1200 * plan.routes;
+  double const router = 200 * (blocks + plan.rate * n * lasts);
+  return 1.5 * (n * any + (n - plan.keepers) * router);
 }
 
 int nodes_within(ScalePlan plan, double bytes) {
--- a/tests/index.cc
+++ b/tests/index.cc
@@ -1,4 +1,4 @@
-// The prefix index: what is believed kept, what is forgotten, and how indexes follow one another; workers that are warm.
+// The prefix index: what is believed kept, what is forgotten, and how indexes follow one another; warm workers.
 #include <gtest/gtest.h>
 
 #include "flow/errand/parse.h"
