--- /dev/null
+++ b/proof/stage/callers.cc
@@ -0,0 +1,399 @@
+#include "proof/stage/callers.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+
+#include "proof/stage/clock.h"
+
+namespace pipit::stage {
+
+namespace {
+constexpr Micros tick_span = millis(10);
+constexpr Micros window = seconds(2);
+constexpr std::size_t kept_most = 6;  // connections of one client
+
+std::string kind_of(std::string const& body) {
+  std::size_t const at = body.find("\"kind\":\"");
+  if (at == std::string::npos) return "";
+  return " " + body.substr(at + 8, body.find('"', at + 8) - at - 8);
+}
+}  // namespace
+
+struct Callers::Client {
+  std::string ip;
+  std::string zone;
+  std::uint64_t hash = 0;
+  bool keeps = false;
+  bool impatient = false;  // ignores the wait that it is told
+  std::vector<std::pair<std::string, std::shared_ptr<Line>>> free;  // with the node's name
+};
+
+struct Callers::Request {
+  std::uint64_t id = 0;
+  std::size_t of = 0;
+  Client* client = nullptr;
+  std::string prompt;
+  std::int64_t tokens = 0;
+  std::int64_t events = 0;
+  std::string path;
+  std::string body;
+  double size = 1;  // of its worth
+  Micros came = 0;
+  Micros due = 0;
+  int tries = 0;
+  // The present try.
+  Attempt* attempt = nullptr;
+  Node* node = nullptr;
+  std::shared_ptr<Line> line;
+  Micros sent = 0;
+  Micros heard = 0;
+  unsigned status = 0;
+  std::string answer;
+  bool waiting = false;  // between two tries
+  // Over all of them.
+  Reading reading;
+  Micros first = -1;
+  Micros last = 0;
+  Micros widest = 0;  // pause between events
+  bool refused_early = false;
+};
+
+Callers::Callers(Shape const& shape_, Nodes& nodes_, Judge& judge_, int net_, std::uint64_t seed, double scale_)
+    : shape(shape_), nodes(nodes_), judge(judge_), net(net_), dice(seed), scale(scale_) {
+  tally.classes.resize(shape.classes.size());
+  int n = 0;
+  for (Zone const& zone : shape.zones)
+    for (int i = 0; i < zone.clients; ++i) {
+      std::unique_ptr<Client> client = std::make_unique<Client>();
+      ++n;
+      client->ip = "127." + std::to_string(net) + ".3." + std::to_string(n);
+      client->zone = zone.name;
+      client->hash = mix(client->ip, seed);
+      client->keeps = i % 2 == 0;
+      client->impatient = i % 10 == 9;
+      clients[zone.name].push_back(std::move(client));
+    }
+}
+
+Callers::~Callers() = default;
+
+double Callers::unit() { return (static_cast<double>(dice.roll() >> 11) + 0.5) * 0x1.0p-53; }
+
+double Callers::draw(Spread const& spread) {
+  if (spread.spread <= 0) return spread.mean;
+  double const sigma2 = std::log(1 + spread.spread * spread.spread);
+  double const normal = std::sqrt(-2 * std::log(unit())) * std::cos(2 * 3.14159265358979 * unit());
+  return std::min(spread.most, std::exp(std::log(spread.mean) - sigma2 / 2 + std::sqrt(sigma2) * normal));
+}
+
+std::size_t Callers::thing_of(SharedPart const& part, std::size_t of, std::size_t level) {
+  std::vector<double>& sums = weights[{of, level}];
+  if (sums.empty()) {
+    double sum = 0;
+    for (std::size_t i = 0; i < part.things; ++i) sums.push_back(sum += std::pow(static_cast<double>(i + 1), -part.skew));
+  }
+  return static_cast<std::size_t>(std::lower_bound(sums.begin(), sums.end(), unit() * sums.back()) - sums.begin());
+}
+
+double Callers::mean_size(std::size_t of) const {
+  RequestClass const& item = shape.classes[of];
+  double out = item.own_tokens.mean + 10 * item.events.mean * static_cast<double>(shape.engine.stride);
+  for (SharedPart const& part : item.shared) out += part.tokens.mean;
+  return out;
+}
+
+void Callers::begin() {
+  began = now();
+  every(tick_span, [this] {
+    if (!stopped) tick();
+    return true;
+  });
+  every(millis(50), [this] {
+    sweep();
+    return true;
+  });
+}
+
+void Callers::perform(Trouble const& trouble) {
+  for (std::size_t of = 0; of < shape.classes.size(); ++of) {
+    if (!trouble.on.empty() && trouble.on != shape.classes[of].name) continue;
+    Crowd crowd;
+    crowd.of = of;
+    crowd.until = now() + trouble.span;
+    if (trouble.kind == Trouble::Kind::burst) crowd.x = trouble.x;
+    if (trouble.kind == Trouble::Kind::hot) crowd.hot = trouble.share;
+    crowds.push_back(crowd);
+  }
+}
+
+void Callers::tick() {
+  Micros const at = now();
+  double const turn = static_cast<double>(at - began) / static_cast<double>(shape.period);
+  std::erase_if(crowds, [at](Crowd const& crowd) { return crowd.until <= at; });
+  for (Zone const& zone : shape.zones)
+    for (std::size_t of = 0; of < shape.classes.size(); ++of) {
+      double rate = shape.classes[of].per_second * zone.share * scale *
+                    (1 + shape.swing * std::sin(2 * 3.14159265358979 * (turn + zone.phase)));
+      for (Crowd const& crowd : crowds)
+        if (crowd.of == of) rate *= crowd.x;
+      // Requests come in clumps.
+      double const clumps = rate * static_cast<double>(tick_span) / 1e6 / shape.clump;
+      for (double left = clumps; left > 0; left -= 1) {
+        if (!dice.chance(std::min(1.0, left))) continue;
+        std::uint64_t const many = 1 + dice.below(static_cast<std::uint64_t>(2 * shape.clump - 1));
+        for (std::uint64_t i = 0; i < many; ++i) come(zone, of);
+      }
+    }
+}
+
+void Callers::come(Zone const& zone, std::size_t of) {
+  RequestClass const& item = shape.classes[of];
+  std::unique_ptr<Request> made = std::make_unique<Request>();
+  Request& request = *made;
+  request.id = ++last;
+  request.of = of;
+  std::vector<std::unique_ptr<Client>>& here = clients[zone.name];
+  request.client = here[dice.below(here.size())].get();
+  char text[64];
+  for (std::size_t level = 0; level < item.shared.size(); ++level) {
+    SharedPart const& part = item.shared[level];
+    std::size_t thing = thing_of(part, of, level);
+    for (Crowd const& crowd : crowds)
+      if (crowd.of == of && level + 1 == item.shared.size() && crowd.hot > 0 && dice.chance(crowd.hot)) thing = 0;
+    // A text has one length, whoever asks for it.
+    std::uint64_t const hash = mix(item.name + "/" + std::to_string(level) + "/" + std::to_string(thing));
+    Dice own(hash);
+    std::swap(own, dice);
+    std::int64_t const tokens = std::max<std::int64_t>(16, static_cast<std::int64_t>(draw(part.tokens)));
+    std::swap(own, dice);
+    std::snprintf(text, sizeof text, "%08llx:%lld,", static_cast<unsigned long long>(hash & 0xffffffff),
+                  static_cast<long long>(tokens));
+    request.prompt += text;
+    request.tokens += tokens;
+  }
+  std::int64_t const own = std::max<std::int64_t>(16, static_cast<std::int64_t>(draw(item.own_tokens)));
+  std::snprintf(text, sizeof text, "%08llx:%lld", static_cast<unsigned long long>(dice.roll() & 0xffffffff),
+                static_cast<long long>(own));
+  request.prompt += text;
+  request.tokens += own;
+  request.events = std::max<std::int64_t>(1, static_cast<std::int64_t>(std::lround(draw(item.events))));
+  std::snprintf(text, sizeof text, "%llx", static_cast<unsigned long long>(request.id));
+  request.path = item.path_prefix + text;
+  request.body = text + std::string(" ");
+  while (request.body.size() < item.body_bytes) request.body += "abcdefghijklmnopqrstuvwxyz0123456789";
+  request.body.resize(item.body_bytes);
+  double const size = static_cast<double>(request.tokens + 10 * request.events * shape.engine.stride);
+  request.size = std::min(4.0, 0.3 + 0.7 * size / mean_size(of));
+  request.came = now();
+  request.due = request.came + item.deadline;
+  ++tally.classes[of].asked;
+  requests.emplace(request.id, std::move(made));
+  attempt(request);
+}
+
+void Callers::attempt(Request& request) {
+  RequestClass const& item = shape.classes[request.of];
+  Client& client = *request.client;
+  Micros const at = now();
+  request.waiting = false;
+  request.status = 0;
+  request.answer.clear();
+  request.reading.rest.clear();
+  request.reading.run = 0;
+  request.sent = request.heard = at;
+  request.line.reset();
+  // Further tries go out on new connections, and meet other nodes.
+  if (client.keeps && request.tries == 0) {
+    while (!client.free.empty() && !request.line) {
+      std::pair<std::string, std::shared_ptr<Line>> const kept = client.free.back();
+      client.free.pop_back();
+      if (!kept.second->reusable()) continue;
+      request.line = kept.second;
+      for (std::unique_ptr<Node> const& node : nodes.all)
+        if (node->name == kept.first) request.node = node.get();
+      ++tally.reused;
+    }
+  }
+  if (!request.line) {
+    request.node = nodes.pick(client.zone, client.hash, request.tries);
+    if (request.node == nullptr) return finish(request, false);
+    request.line = Line::dial(request.node->front(), client.ip, millis(1000));
+    ++tally.dialled;
+  }
+  ++tally.attempts;
+  if (request.tries > 0) ++tally.retries;
+  Attempt attempt;
+  char id[40];
+  std::snprintf(id, sizeof id, "%012llx%04x", static_cast<unsigned long long>(request.id), static_cast<unsigned>(request.tries));
+  attempt.id = id;
+  attempt.service = shape.service;
+  attempt.target = "POST " + request.path;
+  attempt.body = mix(request.body);
+  attempt.repeatable = item.resumable;
+  attempt.events = request.events;
+  attempt.after = request.reading.last;
+  attempt.node = request.node->name;
+  attempt.sent = at;
+  request.attempt = &judge.sent(std::move(attempt));
+  std::string fields = std::string("X-Request-Attempt: ") + id + "\r\nX-Model-Name: " + shape.model +
+                       "\r\nX-Token-Counts: " + std::to_string(request.tokens) + "," +
+                       std::to_string(request.events * shape.engine.stride) + "\r\nX-Prompt-Prefix: " + request.prompt +
+                       "\r\nX-Deadline-Remaining: " + std::to_string(std::max<Micros>(1, (request.due - at) / 1000)) +
+                       "\r\n" + (client.keeps ? "" : "Connection: close\r\n");
+  if (request.reading.last > 0) {
+    ++tally.resumes;
+    fields += "Last-Event-Id: " + std::to_string(request.reading.last) + "\r\n";
+  }
+  ++request.tries;
+  std::uint64_t const number = request.id;
+  Line::Ears ears;
+  ears.head = [this, number](unsigned status) {
+    std::map<std::uint64_t, std::unique_ptr<Request>>::iterator const spot = requests.find(number);
+    if (spot != requests.end()) on_head(*spot->second, status);
+  };
+  ears.body = [this, number](std::string_view bytes) {
+    std::map<std::uint64_t, std::unique_ptr<Request>>::iterator const spot = requests.find(number);
+    if (spot != requests.end()) on_body(*spot->second, bytes);
+  };
+  ears.end = [this, number](Line::End how) {
+    std::map<std::uint64_t, std::unique_ptr<Request>>::iterator const spot = requests.find(number);
+    if (spot != requests.end()) on_end(*spot->second, how);
+  };
+  request.line->ask(request_of("POST", request.path, item.host, fields, request.body), std::move(ears));
+}
+
+void Callers::on_head(Request& request, unsigned status) {
+  request.heard = now();
+  request.status = status;
+  if (status == 200 && request.line->field("x-request-attempt") != request.attempt->id)
+    judge.broken(Promise::mixed, request.attempt->id + " by " + request.attempt->node + " got the answer to '" +
+                                     request.line->field("x-request-attempt") + "'");
+}
+
+void Callers::on_body(Request& request, std::string_view bytes) {
+  Micros const at = now();
+  request.heard = at;
+  tally.bytes += bytes.size();
+  if (request.status != 200) {
+    request.answer.append(bytes.substr(0, 4096));
+    return;
+  }
+  for (std::int64_t const number : judge.read(*request.attempt, request.reading, bytes, at)) {
+    if (number == 1) request.first = at;
+    if (number > 1) request.widest = std::max(request.widest, at - request.last);
+    request.last = at;
+  }
+}
+
+void Callers::on_end(Request& request, Line::End how) {
+  RequestClass const& item = shape.classes[request.of];
+  Micros const at = now();
+  std::shared_ptr<Line> const line = request.line;
+  if (how == Line::End::whole && request.status == 200) {
+    judge.whole(*request.attempt, request.reading, line->field("x-server-seal"));
+    if (request.client->keeps && line->reusable() && request.client->free.size() < kept_most)
+      request.client->free.emplace_back(request.node->name, line);
+    return finish(request, true);
+  }
+  if (how == Line::End::garbage)
+    judge.broken(Promise::mixed, request.attempt->id + " by " + request.attempt->node + " got bytes that are no answer");
+  if (how != Line::End::whole) {
+    char const* const what = how == Line::End::unreached ? "unreached"
+                             : request.status == 200     ? "cut in its stream"
+                             : line->any_byte()          ? "cut in its head"
+                             : line->kept()              ? "cut before its answer, kept"
+                                                         : "cut before its answer";
+    ++tally.answers[what];
+    // Nothing of a request goes out before the connection is up.
+    if (how == Line::End::unreached || item.resumable) return retry(request, millis(20 + static_cast<Micros>(dice.below(80))));
+    return finish(request, false);
+  }
+  ++tally.answers[std::to_string(request.status) + kind_of(request.answer)];
+  bool const promise = request.status == 408 || request.status == 421 || request.status == 429 || request.status == 503;
+  if (promise) {
+    judge.refused(*request.attempt, request.status);
+    if (request.tries == 1 && at - request.came < item.aim / 4 && request.attempt->runs == 0) request.refused_early = true;
+    Micros wait = millis(50 + static_cast<Micros>(dice.below(100)));
+    std::string const told = line->field("retry-after");
+    if (!told.empty()) wait = std::min(static_cast<Micros>(std::atof(told.c_str()) * 1e6), (request.due - at) / 3);
+    if (request.client->impatient) wait = millis(5);
+    return retry(request, wait);
+  }
+  if (request.status >= 300 && request.status < 500 && nodes.in_touch(*request.node, request.sent) &&
+      nodes.in_touch(*request.node, at))
+    judge.broken(Promise::denied, request.attempt->id + " by " + request.attempt->node + " got " + std::to_string(request.status));
+  if (request.status >= 500 && item.resumable) return retry(request, millis(20 + static_cast<Micros>(dice.below(80))));
+  finish(request, false);
+}
+
+void Callers::retry(Request& request, Micros wait) {
+  int const most = 1 + shape.classes[request.of].retries + (request.client->impatient ? 2 : 0);
+  if (request.tries >= most || now() + wait >= request.due) return finish(request, false);
+  request.waiting = true;
+  request.line.reset();
+  std::uint64_t const number = request.id;
+  after(wait, [this, number] {
+    std::map<std::uint64_t, std::unique_ptr<Request>>::iterator const spot = requests.find(number);
+    if (spot != requests.end()) attempt(*spot->second);
+  });
+}
+
+void Callers::sweep() {
+  Micros const at = now();
+  std::vector<Request*> over;
+  std::vector<Request*> unread;
+  for (std::pair<std::uint64_t const, std::unique_ptr<Request>> const& spot : requests) {
+    Request& request = *spot.second;
+    RequestClass const& item = shape.classes[request.of];
+    Micros const silence = std::max({seconds(2), item.aim * 4, item.gap * 8});
+    if (at >= request.due || (!request.waiting && at - request.heard > silence)) over.push_back(&request);
+    // Whoever sent into a process that stands still sees that nothing of it is read.
+    else if (!request.waiting && item.resumable && request.node->frozen && !request.line->any_byte() &&
+             request.sent > request.node->last_trouble && at - request.sent > std::min(seconds(1), (request.due - request.sent) / 3))
+      unread.push_back(&request);
+  }
+  for (Request* const request : over) {
+    ++tally.gave_up;
+    ++tally.answers[at >= request->due ? "no answer by the deadline" : "silence"];
+    if (request->line) request->line->close();
+    finish(*request, false);
+  }
+  for (Request* const request : unread) {
+    ++tally.answers["not read"];
+    request->line->close();
+    retry(*request, 0);
+  }
+}
+
+void Callers::finish(Request& request, bool served) {
+  RequestClass const& item = shape.classes[request.of];
+  ClassTally& own = tally.classes[request.of];
+  double const owed = item.worth * request.size;
+  double earned = 0;
+  if (served) {
+    Micros const first = request.first - request.came;
+    own.first.push_back(first);
+    bool const in_aim = first <= item.aim && request.widest <= item.gap;
+    if (in_aim) ++own.in_aim;
+    else ++own.late;
+    earned = in_aim ? owed : item.late_worth * request.size;
+    if (!in_aim && request.refused_early && request.last > 0 && first - (request.sent - request.came) <= item.aim &&
+        request.widest <= item.gap)
+      earned = (item.worth + item.late_worth) / 2 * request.size;
+  } else {
+    ++own.unserved;
+  }
+  own.owed += owed;
+  own.earned += earned;
+  std::pair<double, double>& zone = tally.zones[request.client->zone];
+  zone.first += earned;
+  zone.second += owed;
+  std::pair<double, double>& slice = tally.windows[(request.came - began) / window];
+  slice.first += earned;
+  slice.second += owed;
+  requests.erase(request.id);
+}
+
+}  // namespace pipit::stage
--- /dev/null
+++ b/proof/stage/figures.cc
@@ -0,0 +1,102 @@
+#include "proof/stage/figures.h"
+
+#include <simdjson.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <map>
+
+#include "ground/jot.h"
+
+namespace pipit::stage {
+
+namespace {
+std::string number(double value) {
+  char text[40];
+  bool const whole = std::fabs(value - std::round(value)) < 1e-9 && std::fabs(value) < 1e15;
+  std::snprintf(text, sizeof text, whole ? "%.0f" : "%.4f", value);
+  return text;
+}
+}  // namespace
+
+std::string Figures::print() const {
+  std::string out;
+  for (std::pair<std::string, std::string> const& word : words) out += word.first + ": " + word.second + "\n";
+  for (std::pair<std::string, double> const& row : rows) {
+    char text[160];
+    std::snprintf(text, sizeof text, "%-42s %s\n", row.first.c_str(), number(row.second).c_str());
+    out += text;
+  }
+  for (std::string const& line : broken) out += "BROKEN " + line + "\n";
+  return out;
+}
+
+std::string Figures::json() const {
+  Jot jot;
+  jot.open().key("words").open();
+  for (std::pair<std::string, std::string> const& word : words) jot.key(word.first).text(word.second);
+  jot.shut().key("figures").open();
+  for (std::pair<std::string, double> const& row : rows) jot.key(row.first).raw(number(row.second));
+  jot.shut().key("broken").list();
+  for (std::string const& line : broken) jot.text(line);
+  jot.unlist().shut();
+  return jot.take() + "\n";
+}
+
+Result<Figures> Figures::read(std::string const& path) {
+  simdjson::dom::parser parser;
+  simdjson::dom::element root;
+  simdjson::dom::object figures;
+  if (parser.load(path).get(root) || root["figures"].get_object().get(figures))
+    return fail(Kind::bad_settings, "'" + path + "' is no report of an experiment");
+  Figures out;
+  for (simdjson::dom::key_value_pair const& field : figures) {
+    double value = 0;
+    if (!field.value.get_double().get(value)) out.put(std::string(field.key), value);
+  }
+  simdjson::dom::object words;
+  if (!root["words"].get_object().get(words))
+    for (simdjson::dom::key_value_pair const& field : words) {
+      std::string_view text;
+      if (!field.value.get_string().get(text)) out.words.emplace_back(std::string(field.key), std::string(text));
+    }
+  return out;
+}
+
+std::string compare(Figures const& a, Figures const& b) {
+  std::string out;
+  char text[200];
+  std::map<std::string, double> right(b.rows.begin(), b.rows.end());
+  std::map<std::string, double> const left(a.rows.begin(), a.rows.end());
+  std::map<std::string, std::string> const words(b.words.begin(), b.words.end());
+  for (std::pair<std::string, std::string> const& word : a.words) {
+    std::map<std::string, std::string>::const_iterator const other = words.find(word.first);
+    if (other != words.end() && other->second != word.second)
+      out += word.first + ": " + word.second + " | " + other->second + "\n";
+  }
+  for (std::pair<std::string, double> const& row : a.rows) {
+    double const other = right.count(row.first) > 0 ? right[row.first] : 0;
+    right.erase(row.first);
+    if (std::fabs(row.second - other) < 1e-9) continue;
+    double const part = row.second == 0 ? 0 : (other - row.second) / std::fabs(row.second) * 100;
+    std::snprintf(text, sizeof text, "%-42s %14s %14s %+9.1f%%\n", row.first.c_str(), number(row.second).c_str(),
+                  number(other).c_str(), part);
+    out += text;
+  }
+  for (std::pair<std::string, double> const& row : b.rows) {
+    if (left.count(row.first) > 0 || row.second == 0) continue;
+    std::snprintf(text, sizeof text, "%-42s %14s %14s\n", row.first.c_str(), "-", number(row.second).c_str());
+    out += text;
+  }
+  return out.empty() ? "no difference\n" : out;
+}
+
+double quantile(std::vector<Micros>& values, double part) {
+  if (values.empty()) return 0;
+  std::size_t const at = std::min(values.size() - 1, static_cast<std::size_t>(part * static_cast<double>(values.size())));
+  std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(at), values.end());
+  return static_cast<double>(values[at]);
+}
+
+}  // namespace pipit::stage
--- /dev/null
+++ b/proof/stage/stage.cc
@@ -0,0 +1,267 @@
+#include "proof/stage/stage.h"
+
+#include <glib-unix.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <cstdio>
+
+#include "proof/stage/clock.h"
+
+namespace pipit::stage {
+
+namespace {
+constexpr Micros lag_tick = millis(5);
+constexpr std::size_t trouble_most = 200;
+}  // namespace
+
+Stage::Stage(StagePlan plan_)
+    : plan(std::move(plan_)),
+      dice(plan.seed),
+      nodes({plan.folder, plan.program, plan.net}, plan.shape, judge),
+      workers(plan.shape, nodes, judge, plan.net, dice.roll()),
+      callers(plan.shape, nodes, judge, plan.net, dice.roll(), plan.rate_scale),
+      operators(plan.shape, nodes, judge, plan.net, dice.roll()) {
+  Line::stray = [this](std::string_view bytes) {
+    judge.broken(Promise::mixed, "bytes where no answer is due: " + std::string(bytes.substr(0, 60)));
+  };
+}
+
+Stage::~Stage() { Line::stray = nullptr; }
+
+// Runs the loop until it holds, or for so long at most.
+bool Stage::until(Micros most, std::function<bool()> yes) {
+  Micros const end = now() + most;
+  while (!interrupted && now() < end) {
+    if (yes()) return true;
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  return !interrupted && yes();
+}
+
+bool Stage::run() {
+  for (int const signal : {SIGINT, SIGTERM})
+    g_unix_signal_add(
+        signal,
+        [](gpointer data) -> gboolean {
+          static_cast<Stage*>(data)->interrupted = true;
+          return TRUE;
+        },
+        this);
+  Micros const launched = now();
+  nodes.start_all();
+  after(millis(300), [this] { workers.start_all(); });
+  after(millis(500), [this] { operators.begin(); });
+  last_turn = now();
+  every(lag_tick, [this] {
+    Micros const at = now();
+    lags.push_back(std::max<Micros>(0, at - last_turn - lag_tick));
+    last_turn = at;
+    return true;
+  });
+  bool const up = until(seconds(20), [this] { return nodes.all_ready() && operators.begun(); });
+  ready_after = static_cast<double>(now() - launched) / 1000;
+  if (!up) return false;
+  // Troubles count from here on, and what the start unsettled has settled.
+  until(std::max<Micros>(0, seconds(4) - (now() - launched)), [] { return false; });
+  nodes.polls = nodes.polls_unready = 0;
+  callers.begin();
+  std::size_t many = 0;
+  for (Trouble const& trouble : plan.troubles)
+    if (++many <= trouble_most) after(trouble.at, [this, trouble] { perform(trouble); });
+  until(static_cast<Micros>(plan.seconds * 1e6), [] { return false; });
+  callers.stop();
+  Micros longest = 0;
+  for (RequestClass const& item : plan.shape.classes) longest = std::max(longest, item.deadline);
+  until(longest + seconds(1), [this] { return callers.idle(); });
+  until(seconds(14), [this] { return operators.idle(); });
+  until(seconds(12), [this] { return nodes.calm(now()); });
+  bool read = false;
+  operators.read_back(seconds(3), [&read] { read = true; });
+  if (!until(seconds(16), [&read] { return read; })) judge.broken(Promise::config_lost, "reading back never ended");
+  nodes.sample();
+  workers.quiet();
+  nodes.end_all();
+  until(seconds(10), [this] { return nodes.all_gone(); });
+  std::uint64_t served = 0;
+  for (ClassTally const& item : callers.tally.classes) served += item.in_aim + item.late;
+  if (served == 0) judge.broken(Promise::unserved, "no request was served");
+  judge.look_at_retries(plan.shape.retry_ratio, plan.shape.extra_retries, seconds(10));
+  return !interrupted;
+}
+
+std::vector<Node*> Stage::some(Trouble const& trouble) {
+  std::vector<Node*> up;
+  for (std::unique_ptr<Node> const& node : nodes.all) {
+    if (node->pid <= 0 || node->leaving || node->frozen) continue;
+    if (trouble.on == "core" && !node->core) continue;
+    if (trouble.on == "plain" && node->core) continue;
+    if (trouble.on == "seed" && !node->seed) continue;
+    up.push_back(node.get());
+  }
+  std::size_t want = trouble.count > 0 ? static_cast<std::size_t>(trouble.count)
+                                       : static_cast<std::size_t>(trouble.share * static_cast<double>(up.size()) + 0.999);
+  std::vector<Node*> out;
+  while (want-- > 0 && !up.empty()) {
+    std::size_t const i = dice.below(up.size());
+    out.push_back(up[i]);
+    up.erase(up.begin() + static_cast<std::ptrdiff_t>(i));
+  }
+  return out;
+}
+
+void Stage::perform(Trouble const& trouble) {
+  switch (trouble.kind) {
+    case Trouble::Kind::kill:
+    case Trouble::Kind::restart:
+      for (Node* const node : some(trouble)) nodes.kill(*node, trouble.span);
+      return;
+    case Trouble::Kind::term: {
+      Micros when = 0;
+      for (Node* const node : some(trouble)) {
+        after(when, [this, node, trouble] { nodes.term(*node, trouble.span); });
+        when += trouble.gap;
+      }
+      return;
+    }
+    case Trouble::Kind::freeze:
+      for (Node* const node : some(trouble)) nodes.freeze(*node, trouble.span);
+      return;
+    case Trouble::Kind::crash:
+      return workers.crash(trouble);
+    case Trouble::Kind::dark:
+      return workers.dark(trouble);
+    case Trouble::Kind::release:
+      return workers.release(trouble);
+    case Trouble::Kind::surplus:
+    case Trouble::Kind::garble:
+      return workers.lie(trouble);
+    case Trouble::Kind::burst:
+    case Trouble::Kind::hot:
+      return callers.perform(trouble);
+    default:
+      return operators.perform(trouble);
+  }
+}
+
+Figures Stage::figures() {
+  Figures out;
+  char text[64];
+  out.words.emplace_back("shape", plan.shape.name);
+  std::snprintf(text, sizeof text, "%g", plan.seconds);
+  out.words.emplace_back("seconds", text);
+  std::snprintf(text, sizeof text, "%g", plan.rate_scale);
+  out.words.emplace_back("rate-scale", text);
+  out.words.emplace_back("troubles", plan.troubles_text);
+  out.words.emplace_back("seed", std::to_string(plan.seed));
+  CallersTally& c = callers.tally;
+  double earned = 0;
+  double owed = 0;
+  std::uint64_t asked = 0;
+  std::uint64_t unserved = 0;
+  double worst_class = 1;
+  for (ClassTally const& item : c.classes) {
+    earned += item.earned;
+    owed += item.owed;
+    asked += item.asked;
+    unserved += item.unserved;
+    if (item.owed > 0) worst_class = std::min(worst_class, item.earned / item.owed);
+  }
+  std::vector<double> windows;
+  std::vector<double> zones;
+  for (std::pair<std::int64_t const, std::pair<double, double>> const& item : c.windows)
+    if (item.second.second > 0) windows.push_back(item.second.first / item.second.second);
+  for (std::pair<std::string const, std::pair<double, double>> const& item : c.zones)
+    if (item.second.second > 0) zones.push_back(item.second.first / item.second.second);
+  std::sort(windows.begin(), windows.end());
+  out.put("worth", owed > 0 ? earned / owed : 0);
+  out.put("worth of the two worst windows", windows.size() < 2 ? 0 : (windows[0] + windows[1]) / 2);
+  out.put("worth of the worst class", worst_class);
+  out.put("worth of the worst zone", zones.empty() ? 0 : *std::min_element(zones.begin(), zones.end()));
+  out.put("requests", static_cast<double>(asked));
+  out.put("requests unserved", static_cast<double>(unserved));
+  std::vector<Micros> all;
+  for (std::size_t of = 0; of < c.classes.size(); ++of) {
+    ClassTally& item = c.classes[of];
+    std::string const name = plan.shape.classes[of].name;
+    out.put(name + " requests", static_cast<double>(item.asked));
+    out.put(name + " in aim", static_cast<double>(item.in_aim));
+    out.put(name + " late", static_cast<double>(item.late));
+    out.put(name + " unserved", static_cast<double>(item.unserved));
+    out.put(name + " worth", item.owed > 0 ? item.earned / item.owed : 0);
+    out.put(name + " first event p50 ms", quantile(item.first, 0.5) / 1000);
+    out.put(name + " first event p95 ms", quantile(item.first, 0.95) / 1000);
+    out.put(name + " first event p99 ms", quantile(item.first, 0.99) / 1000);
+    all.insert(all.end(), item.first.begin(), item.first.end());
+  }
+  out.put("first event p50 ms", quantile(all, 0.5) / 1000);
+  out.put("first event p95 ms", quantile(all, 0.95) / 1000);
+  out.put("first event p99 ms", quantile(all, 0.99) / 1000);
+  out.put("events passed on p50 ms", quantile(judge.passing, 0.5) / 1000);
+  out.put("events passed on p99 ms", quantile(judge.passing, 0.99) / 1000);
+  out.put("events passed on later than 120 ms",
+          static_cast<double>(std::count_if(judge.passing.begin(), judge.passing.end(), [](Micros t) { return t > millis(120); })));
+  out.put("attempts", static_cast<double>(c.attempts));
+  out.put("attempts that are further tries", static_cast<double>(c.retries));
+  out.put("attempts that resume", static_cast<double>(c.resumes));
+  out.put("requests given up by their caller", static_cast<double>(c.gave_up));
+  for (std::pair<std::string const, std::uint64_t> const& item : c.answers)
+    out.put("answer: " + item.first, static_cast<double>(item.second));
+  WorkersTally const w = workers.tally();
+  out.put("arrivals at workers", static_cast<double>(w.arrivals));
+  out.put("repeats at workers", static_cast<double>(judge.repeats));
+  out.put("declined by full workers", static_cast<double>(w.declined));
+  out.put("declined, another worker was meant", static_cast<double>(w.elsewhere));
+  out.put("broken off while at work", static_cast<double>(w.broken_off));
+  out.put("probes", static_cast<double>(w.probes));
+  out.put("connections to workers", static_cast<double>(w.connections));
+  out.put("connections to workers reset over the limit", static_cast<double>(w.over_limit));
+  out.put("connections of callers", static_cast<double>(c.dialled));
+  out.put("prompt tokens read", static_cast<double>(w.tokens_read));
+  out.put("prompt tokens spared", static_cast<double>(w.tokens_spared));
+  out.put("prompt tokens of parts read again", static_cast<double>(w.tokens_again));
+  out.put("part of tokens read again",
+          w.tokens_read > 0 ? static_cast<double>(w.tokens_again) / static_cast<double>(w.tokens_read) : 0);
+  out.put("requests put back for memory", static_cast<double>(w.put_back));
+  out.put("worker bytes", static_cast<double>(w.bytes));
+  out.put("worker bytes across zones", static_cast<double>(w.bytes_across));
+  out.put("mesh bytes", static_cast<double>(nodes.mesh_bytes));
+  out.put("mesh bytes across zones", static_cast<double>(nodes.mesh_bytes_across));
+  out.put("bytes across zones", static_cast<double>(w.bytes_across + nodes.mesh_bytes_across));
+  OperatorsTally& o = operators.tally;
+  out.put("configurations acknowledged", static_cast<double>(o.acknowledged));
+  out.put("configuration changes", static_cast<double>(o.changes));
+  out.put("configuration conflicts", static_cast<double>(o.conflicts));
+  out.put("configurations unclear", static_cast<double>(o.unclear));
+  out.put("configuration races", static_cast<double>(o.races));
+  out.put("configurations invalid", static_cast<double>(o.invalid));
+  out.put("configuration checks at nodes", static_cast<double>(o.checks));
+  out.put("configuration acknowledged p50 ms", quantile(o.acks, 0.5) / 1000);
+  out.put("configuration acknowledged most ms", quantile(o.acks, 1) / 1000);
+  out.put("workers that left unacknowledged", static_cast<double>(w.leaves_unacknowledged));
+  out.put("readiness polls in calm", static_cast<double>(nodes.polls));
+  out.put("readiness polls in calm, not ready", static_cast<double>(nodes.polls_unready));
+  double cpu = 0;
+  double memory = 0;
+  for (std::unique_ptr<Node> const& node : nodes.all) {
+    cpu += node->cpu_ended + node->cpu;
+    memory = std::max(memory, node->memory_mb);
+  }
+  out.put("nodes", static_cast<double>(nodes.all.size()));
+  out.put("node processor seconds", cpu);
+  out.put("node memory most MB", memory);
+  out.put("ready after ms", ready_after);
+  rusage own;
+  getrusage(RUSAGE_SELF, &own);
+  out.put("stage processor seconds", static_cast<double>(own.ru_utime.tv_sec + own.ru_stime.tv_sec));
+  out.put("stage loop late p99 ms", quantile(lags, 0.99) / 1000);
+  out.put("stage loop late most ms", quantile(lags, 1) / 1000);
+  for (std::size_t i = 0; i < promise_rows().size(); ++i)
+    if (judge.counts[i] > 0)
+      out.put(std::string("broken promise ") + promise_rows()[i].name, static_cast<double>(judge.counts[i]));
+  out.put("broken promises", static_cast<double>(judge.total()));
+  out.broken = judge.details;
+  return out;
+}
+
+}  // namespace pipit::stage
--- /dev/null
+++ b/proof/stage/stage.h
@@ -0,0 +1,53 @@
+// One experiment from its start to its report: processes, stand-ins, troubles and the judge put together.
+#pragma once
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "proof/stage/callers.h"
+#include "proof/stage/figures.h"
+#include "proof/stage/nodes.h"
+#include "proof/stage/operators.h"
+#include "proof/stage/workers.h"
+
+namespace pipit::stage {
+
+struct StagePlan {
+  Shape shape;
+  double seconds = 20;
+  double rate_scale = 1;
+  std::string troubles_text;
+  std::vector<Trouble> troubles;
+  std::uint64_t seed = 1;
+  int net = 60;
+  std::string folder;
+  std::string program;  // lodge
+};
+
+class Stage {
+ public:
+  explicit Stage(StagePlan plan_);
+  ~Stage();
+  // False when the system did not come up.
+  bool run();
+  Figures figures();
+  Judge judge;
+
+ private:
+  bool until(Micros most, std::function<bool()> yes);
+  void perform(Trouble const& trouble);
+  std::vector<Node*> some(Trouble const& trouble);
+
+  StagePlan const plan;
+  Dice dice;
+  Nodes nodes;
+  Workers workers;
+  Callers callers;
+  Operators operators;
+  std::vector<Micros> lags;  // by how much the stage's own loop came late
+  Micros last_turn = 0;
+  double ready_after = 0;
+  bool interrupted = false;
+};
+
+}  // namespace pipit::stage
--- a/proof/stage/workers.cc
+++ b/proof/stage/workers.cc
@@ -341,7 +341,12 @@
   std::string const last = conn.head.get("Last-Event-Id");
   generation.events = last.empty() ? 0 : std::atoll(last.c_str());
   generation.out = attempt->events * shape.engine.stride;
-  if (generation.events >= attempt->events) generation.events = attempt->events - 1;
+  if (generation.events >= attempt->events) {
+    // Only the end was lost: there is nothing more to say.
+    judge.ran(*attempt, generation.id, worker.id);
+    return answer(worker, conn, 200,
+                  "Content-Type: text/event-stream\r\n" + carried + "X-Server-Seal: " + std::to_string(generation.id) + "\r\n", "");
+  }
   generation.due = at + millis(std::max(1ll, std::atoll(conn.head.get("X-Deadline-Remaining").c_str())));
   std::uint64_t const number = generation.id;
   if (worker.engine.submit(std::move(generation), at) != Engine::Admission::queued) {
