--- a/proof/stage/nodes.cc
+++ b/proof/stage/nodes.cc
@@ -262,6 +262,7 @@
 }
 
 bool Nodes::in_touch(Node const& node, Micros at) const {
+  if (at - last_held_up < touch) return false;
   if (node.pid <= 0 || node.frozen || node.leaving || at - node.last_trouble < touch) return false;
   for (std::unique_ptr<Node> const& item : all)
     if (item->core && (item->frozen || item->pid <= 0 || item->leaving || at - item->last_trouble < touch)) return false;
--- a/proof/stage/nodes.h
+++ b/proof/stage/nodes.h
@@ -60,6 +60,8 @@
   Node* by_ip(std::string const& ip);
   // Where a new connection of that client goes; nullptr when no node is there at all.
   Node* pick(std::string const& zone, std::uint64_t client, int turn);
+  // This machine, and with it the stage, stood still: for a while nobody is judged by the clock.
+  void held_up(Micros now) { last_held_up = now; }
   // No trouble there and in the core for that long.
   bool in_touch(Node const& node, Micros now) const;
   bool calm(Micros now) const;
@@ -86,6 +88,7 @@
   std::map<pid_t, Micros> back;  // processes that are being ended, and when they start again; -1 for never
   bool ending = false;
   Micros next_sample = 0;
+  Micros last_held_up = -seconds(3600);
   std::map<std::string, std::uint64_t> acked;  // of a connection's end, at the last look
   int look_fd = -1;
 };
--- a/proof/stage/stage.cc
+++ b/proof/stage/stage.cc
@@ -12,6 +12,7 @@
 
 namespace {
 constexpr Micros lag_tick = millis(5);
+constexpr Micros lag_most = millis(150);  // above it the stage itself is no fair judge of time
 constexpr std::size_t trouble_most = 200;
 }  // namespace
 
@@ -55,7 +56,9 @@
   last_turn = now();
   every(lag_tick, [this] {
     Micros const at = now();
-    lags.push_back(std::max<Micros>(0, at - last_turn - lag_tick));
+    Micros const late = std::max<Micros>(0, at - last_turn - lag_tick);
+    lags.push_back(late);
+    if (late > lag_most) nodes.held_up(at);
     last_turn = at;
     return true;
   });
@@ -65,6 +68,7 @@
   // Troubles count from here on, and what the start unsettled has settled.
   until(std::max<Micros>(0, seconds(4) - (now() - launched)), [] { return false; });
   nodes.polls = nodes.polls_unready = 0;
+  lags.clear();
   callers.begin();
   std::size_t many = 0;
   for (Trouble const& trouble : plan.troubles)
--- /dev/null
+++ b/tests/stage.cc
@@ -0,0 +1,170 @@
+// The stage's judge and its notation: what would be missed here would be missed in every experiment.
+#include <gtest/gtest.h>
+
+#include "proof/stage/figures.h"
+#include "proof/stage/judge.h"
+#include "proof/stage/operators.h"
+#include "proof/stage/troubles.h"
+
+namespace pipit::stage {
+namespace {
+
+Attempt attempt_of(std::string id, bool repeatable, std::int64_t events = 3) {
+  Attempt out;
+  out.id = std::move(id);
+  out.service = "s";
+  out.target = "POST /a";
+  out.body = 7;
+  out.repeatable = repeatable;
+  out.events = events;
+  out.node = "n";
+  out.sent = 1000;
+  return out;
+}
+
+std::uint64_t broken(Judge const& judge, Promise promise) { return judge.count(promise); }
+
+}  // namespace
+
+TEST(Judge, a_proper_exchange_breaks_nothing) {
+  Judge judge;
+  Attempt& attempt = judge.sent(attempt_of("a", false));
+  ASSERT_EQ(judge.arrived("a", "POST /a", 7, "s", "w", 2000), &attempt);
+  judge.ran(attempt, 5, "w");
+  Reading reading;
+  std::string text;
+  for (std::int64_t n = 1; n <= 3; ++n) text += event_text("a", n, 5, 2000, 60);
+  // However it is cut.
+  for (char const c : text) judge.read(attempt, reading, std::string_view(&c, 1), 3000);
+  EXPECT_EQ(reading.last, 3);
+  EXPECT_EQ(reading.slowest, 1000);
+  judge.whole(attempt, reading, "5");
+  EXPECT_EQ(judge.total(), 0u);
+}
+
+TEST(Judge, a_request_that_nobody_sent_or_that_was_changed_is_noticed) {
+  Judge judge;
+  judge.sent(attempt_of("a", false));
+  EXPECT_EQ(judge.arrived("b", "POST /a", 7, "s", "w", 0), nullptr);
+  EXPECT_EQ(judge.arrived("a", "POST /a?x", 7, "s", "w", 0), nullptr);
+  EXPECT_EQ(judge.arrived("a", "POST /a", 8, "s", "w", 0), nullptr);
+  EXPECT_EQ(broken(judge, Promise::unasked), 3u);
+}
+
+TEST(Judge, what_may_not_be_repeated_runs_once_and_what_was_refused_never) {
+  Judge judge;
+  Attempt& once = judge.sent(attempt_of("a", false));
+  judge.ran(once, 1, "w");
+  EXPECT_EQ(judge.total(), 0u);
+  judge.ran(once, 2, "v");
+  EXPECT_EQ(broken(judge, Promise::twice), 1u);
+  Attempt& after = judge.sent(attempt_of("b", false));
+  judge.refused(after, 503);
+  EXPECT_EQ(broken(judge, Promise::refused_ran), 0u);
+  judge.ran(after, 3, "w");
+  EXPECT_EQ(broken(judge, Promise::refused_ran), 1u);
+  Attempt& before = judge.sent(attempt_of("c", false));
+  judge.ran(before, 4, "w");
+  judge.refused(before, 429);
+  EXPECT_EQ(broken(judge, Promise::refused_ran), 2u);
+  Attempt& often = judge.sent(attempt_of("d", true));
+  judge.ran(often, 5, "w");
+  judge.ran(often, 6, "v");
+  judge.refused(often, 503);
+  EXPECT_EQ(broken(judge, Promise::twice), 1u);
+  EXPECT_EQ(broken(judge, Promise::refused_ran), 2u);
+}
+
+TEST(Judge, a_gap_a_double_a_mix_of_runs_and_an_early_end_are_noticed) {
+  struct Row {
+    char const* what;
+    std::vector<std::pair<std::int64_t, std::uint64_t>> events;  // number, run
+    bool repeatable;
+    Promise promise;
+    std::uint64_t times;
+  };
+  std::vector<Row> const rows = {
+      {"gap", {{1, 5}, {3, 5}}, false, Promise::order, 1},
+      {"double", {{1, 5}, {1, 5}}, true, Promise::order, 1},
+      {"two runs", {{1, 5}, {2, 6}, {3, 6}}, false, Promise::order, 1},
+      {"taken up elsewhere", {{1, 5}, {2, 6}, {3, 6}}, true, Promise::order, 0},
+      {"early end", {{1, 5}, {2, 5}}, true, Promise::order, 1},
+      {"a run that never was", {{1, 9}}, true, Promise::mixed, 1},
+  };
+  for (Row const& row : rows) {
+    Judge judge;
+    Attempt& attempt = judge.sent(attempt_of("a", row.repeatable));
+    attempt.seals = {5, 6};
+    Reading reading;
+    for (std::pair<std::int64_t, std::uint64_t> const& event : row.events)
+      judge.read(attempt, reading, event_text("a", event.first, event.second, 0, 60), 10);
+    judge.whole(attempt, reading, "5");
+    EXPECT_EQ(broken(judge, row.promise), row.times) << row.what;
+    EXPECT_EQ(judge.total(), row.times) << row.what;
+  }
+}
+
+TEST(Judge, another_answer_half_an_event_and_a_missing_seal_are_noticed) {
+  Judge judge;
+  Attempt& attempt = judge.sent(attempt_of("a", true, 1));
+  attempt.seals = {5};
+  Reading other;
+  judge.read(attempt, other, event_text("b", 1, 5, 0, 60), 10);
+  EXPECT_EQ(broken(judge, Promise::mixed), 1u);
+  Reading half;
+  judge.read(attempt, half, event_text("a", 1, 5, 0, 60) + "id: 2", 10);
+  judge.whole(attempt, half, "5");
+  EXPECT_EQ(broken(judge, Promise::mixed), 2u);
+  Reading good;
+  judge.read(attempt, good, event_text("a", 1, 5, 0, 60), 10);
+  judge.whole(attempt, good, "");
+  EXPECT_EQ(broken(judge, Promise::mixed), 3u);
+}
+
+TEST(Judge, repeats_are_held_against_what_was_asked_in_a_window) {
+  for (int const repeats : {3, 4}) {
+    Judge judge;
+    for (int i = 0; i < 10; ++i) judge.sent(attempt_of("a" + std::to_string(i), true));
+    for (int i = 0; i < 10; ++i) judge.arrived("a" + std::to_string(i), "POST /a", 7, "s", "w", 2000);
+    for (int i = 0; i < repeats; ++i) judge.arrived("a" + std::to_string(i), "POST /a", 7, "s", "w", 3000);
+    judge.look_at_retries(0.2, 1, seconds(10));
+    EXPECT_EQ(broken(judge, Promise::too_many_retries), repeats > 3 ? 1u : 0u);
+  }
+}
+
+TEST(Stage, troubles_are_read_with_their_defaults_in_order_of_time) {
+  Result<std::vector<Trouble>> const made = parse_troubles(" burst@6:x=2,on=note ; kill@1.5:on=core;; crash@2:share=0.5 ");
+  ASSERT_TRUE(made);
+  ASSERT_EQ(made.value().size(), 3u);
+  EXPECT_EQ(made.value()[0].kind, Trouble::Kind::kill);
+  EXPECT_EQ(made.value()[0].at, 1500000);
+  EXPECT_EQ(made.value()[0].on, "core");
+  EXPECT_EQ(made.value()[0].count, 1);
+  EXPECT_EQ(made.value()[1].share, 0.5);
+  EXPECT_EQ(made.value()[2].x, 2);
+  for (char const* const bad : {"rain@1", "kill", "kill@", "kill@x", "kill@1:count", "kill@1:count=x", "kill@-1", "kill@1:a=2"})
+    EXPECT_FALSE(parse_troubles(bad)) << bad;
+}
+
+TEST(Stage, configurations_that_mean_the_same_read_the_same) {
+  EXPECT_EQ(canonical("{\"a\":1,\"b\":[{\"name\":\"x\"},{\"name\":\"y\",\"z\":true}]}"),
+            canonical("{ \"b\":[{\"z\":true,\"name\":\"y\"},{\"name\":\"x\"}], \"a\":1.0 }"));
+  EXPECT_NE(canonical("{\"a\":[1,2]}"), canonical("{\"a\":[2,1]}"));
+  EXPECT_NE(canonical("{\"a\":1}"), canonical("{\"a\":2}"));
+  EXPECT_EQ(canonical("{\"a\":"), "");
+}
+
+TEST(Stage, two_reports_are_compared_row_by_row) {
+  Figures a;
+  a.put("worth", 0.5);
+  a.put("same", 3);
+  Figures b;
+  b.put("worth", 0.75);
+  b.put("same", 3);
+  std::string const text = compare(a, b);
+  EXPECT_NE(text.find("+50.0%"), std::string::npos) << text;
+  EXPECT_EQ(text.find("same"), std::string::npos) << text;
+  EXPECT_EQ(compare(a, a), "no difference\n");
+}
+
+}  // namespace pipit::stage
