--- a/proof/stage/workers.cc
+++ b/proof/stage/workers.cc
@@ -359,7 +359,8 @@
   job.conn = &conn;
   job.attempt = attempt;
   if (worker.lie == Lie::garble && at < worker.lie_until && dice.chance(worker.lie_chance))
-    job.broken_at = static_cast<std::int64_t>(dice.below(static_cast<std::uint64_t>(attempt->events)));
+    // Half of them before anything is said: they have run, and nobody can see it.
+    job.broken_at = dice.chance(0.5) ? 0 : static_cast<std::int64_t>(dice.below(static_cast<std::uint64_t>(attempt->events)));
   conn.job = number;
   worker.jobs.emplace(number, job);
 }
@@ -391,13 +392,12 @@
       }
       if (job.broken_at >= 0 && item.number > job.broken_at) {
         // Half of them just end; the others send something that is no part of an answer first.
-        bool const garbage = dice.chance(0.5);
-        if (garbage) send(conn, "\x01\x02 no answer\r\n\r\n");
-        conn.link->finish();
+        if (dice.chance(0.5)) send(conn, "\x01\x02 no answer\r\n\r\n");
         worker.engine.cancel(job.id);
         worker.jobs.erase(spot);
-        conn.job = 0;
-        drop(worker, conn);
+        worker.conns.erase(&conn);
+        keep->link->listen({});
+        keep->link->finish();
         return;
       }
       out += chunk_text(event_text(job.attempt->id, item.number, job.id, now(), event_bytes));
