--- a/proof/stage/main.cc
+++ b/proof/stage/main.cc
@@ -89,7 +89,7 @@
   std::unique_ptr<Stage> const stage = std::make_unique<Stage>(plan);
   bool const done = stage->run();
   Figures const figures = stage->figures();
-  std::cout << figures.print();
+  std::cout << figures.print() << std::flush;
   if (!out.empty() && !(std::ofstream(out) << figures.json())) return refuse("--out: '" + out + "' cannot be written");
   if (!done) {
     std::cout << "the system was not ready in time, or the experiment was ended\n";
--- a/proof/stage/operators.cc
+++ b/proof/stage/operators.cc
@@ -202,24 +202,22 @@
   first.version = 1 + dice.below(5);
   last_version = first.version;
   sent[first.version].push_back(first);
-  std::shared_ptr<std::function<void()>> const again = std::make_shared<std::function<void()>>();
-  task([this, first, again](std::function<void()> done) {
-    *again = [this, first, again, done] {
-      Micros const at = now();
-      call("POST /Configuration.Replace", "X-Based-On-Version: 0\r\nContent-Type: application/json\r\n", first.text(),
-           [this, first, again, done, at](unsigned status, std::string const& body) {
-             if (status == 200) {
-               acknowledged(first, at);
-               return done();
-             }
-             if (status != 0)
-               judge.broken(Promise::config_unacknowledged,
-                            "the first configuration got " + std::to_string(status) + " " + body.substr(0, 200));
-             after(millis(500), *again);
-           });
-    };
-    (*again)();
-  });
+  task([this, first](std::function<void()> done) { begin_with(first, std::move(done)); });
+}
+
+void Operators::begin_with(Configuration const& first, std::function<void()> done) {
+  Micros const at = now();
+  call("POST /Configuration.Replace", "X-Based-On-Version: 0\r\nContent-Type: application/json\r\n", first.text(),
+       [this, first, done, at](unsigned status, std::string const& body) {
+         if (status == 200) {
+           acknowledged(first, at);
+           return done();
+         }
+         if (status != 0)
+           judge.broken(Promise::config_unacknowledged,
+                        "the first configuration got " + std::to_string(status) + " " + body.substr(0, 200));
+         after(millis(500), [this, first, done] { begin_with(first, done); });
+       });
 }
 
 Operators::Configuration Operators::changed(Configuration const& from, int number, std::string const& drop) {
@@ -499,29 +497,26 @@
             seconds(4));
 }
 
-void Operators::read_back(Micros span, std::function<void()> done) {
-  Micros const until = now() + span;
-  std::shared_ptr<std::function<void()>> const again = std::make_shared<std::function<void()>>();
-  *again = [this, until, again, done] {
-    call("GET /Configuration.Read", "", "", [this, until, again, done](unsigned status, std::string const& body) {
-      Configuration read;
-      if (status != 200) {
-        judge.broken(Promise::config_lost, "reading back got " + std::to_string(status));
-      } else if (!known(body, read)) {
-        judge.broken(Promise::config_lost, "what was read back was never sent: " + body.substr(0, 120));
-      } else if (read.version != in_force.version || canonical(read.text()) != canonical(in_force.text())) {
-        // A change that got no clear answer may be in force or not.
-        std::map<std::uint64_t, std::string>::const_iterator const open = unsettled.find(read.version);
-        if (read.version < in_force.version || open == unsettled.end() || open->second != canonical(body))
-          judge.broken(Promise::config_lost, "version " + std::to_string(read.version) + " was read back, " +
-                                                 std::to_string(in_force.version) + " was acknowledged");
-      }
-      ++tally.read_back;
-      if (now() >= until) return done();
-      after(millis(300), *again);
-    });
-  };
-  (*again)();
+void Operators::read_back(Micros span, std::function<void()> done) { read_until(now() + span, std::move(done)); }
+
+void Operators::read_until(Micros until, std::function<void()> done) {
+  call("GET /Configuration.Read", "", "", [this, until, done](unsigned status, std::string const& body) {
+    Configuration read;
+    if (status != 200) {
+      judge.broken(Promise::config_lost, "reading back got " + std::to_string(status));
+    } else if (!known(body, read)) {
+      judge.broken(Promise::config_lost, "what was read back was never sent: " + body.substr(0, 120));
+    } else if (read.version != in_force.version || canonical(read.text()) != canonical(in_force.text())) {
+      // A change that got no clear answer may be in force or not.
+      std::map<std::uint64_t, std::string>::const_iterator const open = unsettled.find(read.version);
+      if (read.version < in_force.version || open == unsettled.end() || open->second != canonical(body))
+        judge.broken(Promise::config_lost, "version " + std::to_string(read.version) + " was read back, " +
+                                               std::to_string(in_force.version) + " was acknowledged");
+    }
+    ++tally.read_back;
+    if (now() >= until) return done();
+    after(millis(300), [this, until, done] { read_until(until, done); });
+  });
 }
 
 }  // namespace pipit::stage
--- a/proof/stage/operators.h
+++ b/proof/stage/operators.h
@@ -77,6 +77,8 @@
   using Task = std::function<void(std::function<void()> done)>;
 
   void task(Task task_);
+  void begin_with(Configuration const& first, std::function<void()> done);
+  void read_until(Micros until, std::function<void()> done);
   void next_task();
   void call(std::string target, std::string fields, std::string body,
             std::function<void(unsigned, std::string const&)> done);
