--- a/proof/stage/judge.h
+++ b/proof/stage/judge.h
@@ -11,23 +11,24 @@
 
 namespace pipit::stage {
 
-#define STAGE_PROMISES(X)                                                            \
-  X(unasked, "a worker got a request that nobody sent so")                           \
-  X(twice, "a request that may not be repeated ran more than once")                  \
-  X(refused_ran, "a request was refused, and ran")                                   \
-  X(mixed, "a caller got what is not the whole answer to its own request")           \
-  X(order, "a stream lacks a piece, has one twice, or joins two runs")               \
-  X(denied, "a proper request was denied")                                           \
-  X(misrouted, "a service ran a request that was never to go there")                 \
-  X(drained, "a request came to a worker too long after it had said that it leaves") \
-  X(lost, "a node that was told to end cut a request that it had read")              \
-  X(too_many_retries, "workers were sent more repeats than the budget allows")       \
-  X(config_late, "an acknowledged change was not followed in time")                  \
-  X(config_two, "two changes on top of one version were both acknowledged")          \
-  X(config_invalid, "an invalid configuration was acknowledged")                     \
-  X(config_lost, "what was read back is not what was acknowledged")                  \
-  X(config_unacknowledged, "a proper change was not acknowledged in a calm time")    \
-  X(ended, "a node ended by itself")                                                 \
+#define STAGE_PROMISES(X)                                                              \
+  X(unasked, "a worker got a request that nobody sent so")                             \
+  X(twice, "a request that may not be repeated ran more than once")                    \
+  X(refused_ran, "a request was refused, and ran")                                     \
+  X(mixed, "a caller got what is not the whole answer to its own request")             \
+  X(order, "a stream lacks a piece, has one twice, or joins two runs")                 \
+  X(denied, "a proper request was denied")                                             \
+  X(misrouted, "a service ran a request that was never to go there")                   \
+  X(drained, "a request came to a worker too long after it had said that it leaves")   \
+  X(lost, "a node that was told to end cut a request that it had read")                \
+  X(too_many_retries, "workers were sent more repeats than the budget allows")         \
+  X(config_late, "an acknowledged change was not followed in time")                    \
+  X(config_two, "two changes on top of one version were both acknowledged")            \
+  X(config_invalid, "an invalid configuration was acknowledged")                       \
+  X(config_refused, "a configuration that was refused, or lost its race, is in force") \
+  X(config_lost, "what was read back is not what was acknowledged")                    \
+  X(config_unacknowledged, "a proper change was not acknowledged in a calm time")      \
+  X(ended, "a node ended by itself")                                                   \
   X(unserved, "nothing was served")
 
 enum class Promise : std::uint8_t {
--- a/proof/stage/operators.h
+++ b/proof/stage/operators.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -91,7 +91,7 @@
   void acknowledged(Configuration const& configuration, Micros sent);
   // After an answer that leaves it open: what stands is read, and built upon.
   void adopt(std::function<void()> done);
-  bool known(std::string const& body, Configuration& out) const;
+  bool known(std::string const& body, Configuration& out);
   void check(Configuration const& configuration, Configuration const& before);
   void ask(Node& node, int number, bool wanted);
   std::string oldest_idle(Configuration const& from) const;
@@ -106,6 +106,7 @@
   Configuration in_force;                                    // the newest that was acknowledged, or that was read back
   std::map<std::uint64_t, std::vector<Configuration>> sent;  // by version; races give one number to two
   std::map<std::uint64_t, std::string> unsettled;            // versions with no clear answer
+  std::set<std::string> refused;                             // texts that must never be in force
   std::map<int, IdleRoute> idle_routes;
   int last_idle = 0;
   std::uint64_t last_version = 0;
--- a/proof/stage/stage.cc
+++ b/proof/stage/stage.cc
@@ -75,6 +75,7 @@
     if (++many <= trouble_most) after(trouble.at, [this, trouble] { perform(trouble); });
   until(static_cast<Micros>(plan.seconds * 1e6), [] { return false; });
   callers.stop();
+  if (interrupted) return false;  // what was cut short is not judged
   Micros longest = 0;
   for (RequestClass const& item : plan.shape.classes) longest = std::max(longest, item.deadline);
   until(longest + seconds(1), [this] { return callers.idle(); });
