--- a/proof/stage/callers.cc
+++ b/proof/stage/callers.cc
@@ -61,7 +61,7 @@
 };
 
 Callers::Callers(Shape const& shape_, Nodes& nodes_, Judge& judge_, int net_, std::uint64_t seed, double scale_)
-    : shape(shape_), nodes(nodes_), judge(judge_), net(net_), dice(seed), scale(scale_) {
+    : shape(shape_), nodes(nodes_), judge(judge_), net(net_), dice(seed), jitter(~seed), scale(scale_) {
   tally.classes.resize(shape.classes.size());
   int n = 0;
   for (Zone const& zone : shape.zones)
@@ -106,9 +106,10 @@
 }
 
 void Callers::begin() {
-  began = now();
+  began = next_tick = now();
   every(tick_span, [this] {
-    if (!stopped) tick();
+    // However late the loop is, as much comes as should.
+    for (Micros const at = now(); !stopped && next_tick <= at; next_tick += tick_span) tick(next_tick);
     return true;
   });
   every(millis(50), [this] {
@@ -129,8 +130,7 @@
   }
 }
 
-void Callers::tick() {
-  Micros const at = now();
+void Callers::tick(Micros at) {
   double const turn = static_cast<double>(at - began) / static_cast<double>(shape.period);
   std::erase_if(crowds, [at](Crowd const& crowd) { return crowd.until <= at; });
   for (Zone const& zone : shape.zones)
@@ -316,7 +316,7 @@
                                       " ms after it was told to end");
     // Nothing of a request goes out before the connection is up.
     if (how == Line::End::unreached || item.resumable)
-      return retry(request, millis(20 + static_cast<Micros>(dice.below(80))));
+      return retry(request, millis(20 + static_cast<Micros>(jitter.below(80))));
     return finish(request, false);
   }
   ++tally.answers[std::to_string(request.status) + kind_of(request.answer)];
@@ -325,7 +325,7 @@
     judge.refused(*request.attempt, request.status);
     if (request.tries == 1 && at - request.came < item.aim / 4 && request.attempt->runs == 0)
       request.refused_early = true;
-    Micros wait = millis(50 + static_cast<Micros>(dice.below(100)));
+    Micros wait = millis(50 + static_cast<Micros>(jitter.below(100)));
     std::string const told = line->field("retry-after");
     if (!told.empty()) wait = std::min(static_cast<Micros>(std::atof(told.c_str()) * 1e6), (request.due - at) / 3);
     if (request.client->impatient) wait = millis(5);
@@ -335,7 +335,8 @@
       nodes.in_touch(*request.node, at))
     judge.broken(Promise::denied,
                  request.attempt->id + " by " + request.attempt->node + " got " + std::to_string(request.status));
-  if (request.status >= 500 && item.resumable) return retry(request, millis(20 + static_cast<Micros>(dice.below(80))));
+  if (request.status >= 500 && item.resumable)
+    return retry(request, millis(20 + static_cast<Micros>(jitter.below(80))));
   finish(request, false);
 }
 
--- a/proof/stage/callers.h
+++ b/proof/stage/callers.h
@@ -60,7 +60,7 @@
     double hot = 0;
     Micros until = 0;
   };
-  void tick();
+  void tick(Micros at);
   void come(Zone const& zone, std::size_t of);
   void attempt(Request& request);
   void on_head(Request& request, unsigned status);
@@ -78,10 +78,12 @@
   Nodes& nodes;
   Judge& judge;
   int const net;
-  Dice dice;
+  Dice dice;    // of what comes: the same for the same seed
+  Dice jitter;  // of what depends on how things went
   double const scale;
   bool stopped = false;
   Micros began = 0;
+  Micros next_tick = 0;
   std::uint64_t last = 0;
   std::map<std::string, std::vector<std::unique_ptr<Client>>> clients;  // by zone
   std::map<std::uint64_t, std::unique_ptr<Request>> requests;
