--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -52,6 +52,7 @@
       last_tick(now) {
   if (slate) acceptor.emplace(std::move(*slate));
   registry.span(plan.beat_gap);
+  if (plan.registered) dispatcher.begun(now);
   dispatcher.budget(plan.resend_ratio, plan.resend_store);
 }
 
--- a/src/flow/dispatch/dispatcher.cc
+++ b/src/flow/dispatch/dispatcher.cc
@@ -15,6 +15,8 @@
 constexpr Micros dial_most = millis(350);    // for opening a connection to a worker
 constexpr Micros time_least = millis(60);    // with less left, no other worker is tried
 constexpr int dials_most = 4;
+constexpr Micros begin_span = seconds(5);  // after its start, while what a node knows still grows
+constexpr Micros begin_wait = millis(900);
 // §12.5: what a first event takes on a worker that is free, and for each token that has to be read. Learnt figures
 // take their place; these begin.
 constexpr Micros first_least = millis(45);
@@ -117,6 +119,16 @@
   request.rules = rules;
   request.came = now;
   requests.emplace(id, std::move(made));
+  // A node that has only just begun reads the description in a moment: who asks meanwhile is kept rather than refused.
+  Micros const patience = request.query.left > 0 ? std::min(request.query.left / 4, begin_wait) : begin_wait;
+  request.give_up = now + patience;
+  if (rules->routes.empty() && now - born < begin_span) return;
+  admit(request, now, out);
+}
+
+// What the description says of it, once there is one.
+void Dispatcher::admit(Request& request, Micros now, DispatchOut& out) {
+  request.rules = rules;
   if (rules->routes.empty()) return deny(request, Kind::not_ready, millis(300), out);
   request.route = rules->route(request.query.host, request.query.path);
   if (request.route == nullptr) return deny(request, Kind::not_found, 0, out);
@@ -134,9 +146,10 @@
   request.repeatable = request.route->repeatable || (request.route->streams && request.route->resumable);
   request.tree = request.pool->name + "/" + request.query.model;
   Micros const left = request.query.left > 0 ? request.query.left : request.route->hold;
-  request.due = now + std::min(left, request.route->hold) - way_back;
+  request.due = request.came + std::min(left, request.route->hold) - way_back;
   if (request.due <= now) return deny(request, Kind::expired, millis(100), out);
-  request.give_up = now + std::min(request.route->aim / 5, left / 4);
+  request.give_up = request.came + std::min(request.route->aim / 5, left / 4);
+  if (now - born < begin_span) request.give_up = request.came + std::min(begin_wait, left / 4);
   Bucket& earned = bucket(*request.pool);
   earned.level += resend_ratio;
   place(request, now, out);
@@ -425,6 +438,10 @@
     std::map<std::uint64_t, std::unique_ptr<Request>>::iterator const spot = requests.find(id);
     if (spot == requests.end()) continue;
     Request& request = *spot->second;
+    if (request.route == nullptr) {
+      if (!rules->routes.empty() || now >= request.give_up) admit(request, now, out);
+      continue;
+    }
     if (request.at.empty()) {
       place(request, now, out);
       if (!request.at.empty()) continue;
--- a/src/flow/dispatch/dispatcher.h
+++ b/src/flow/dispatch/dispatcher.h
@@ -77,6 +77,8 @@
   void hold(bool held_) { held = held_; }
   // The part of all re-sends in a window that this node may take beside what its own requests earn (§12.5).
   void budget(double ratio, double store);
+  // When this node began: for a while it may know fewer workers than there are, and who asks waits a little longer.
+  void begun(Micros at) { born = at; }
   // Its state is known from now on to the table of members, DOWN ones too.
   void nodes(std::size_t count, bool wide_ = false) {
     node_count = std::max<std::size_t>(1, count);
@@ -128,6 +130,7 @@
     double level = 0;
     bool known = false;
   };
+  void admit(Request& request, Micros now, DispatchOut& out);
   void place(Request& request, Micros now, DispatchOut& out);
   static Micros read_time(std::int64_t missing, std::int64_t kept);
   void begin(Request& request, Instance& instance, std::int64_t missing, std::int64_t kept, Micros guess, bool at_home,
@@ -152,6 +155,7 @@
   std::size_t node_count = 1;
   bool wide = false;  // so many nodes that kept parts are told only where nobody would guess them (§12.7)
   std::uint64_t turn = 0;
+  Micros born = -seconds(3600);
   std::map<std::uint64_t, std::unique_ptr<Request>> requests;
   std::map<std::string, Bucket> buckets;
 };
--- a/tests/dispatcher.cc
+++ b/tests/dispatcher.cc
@@ -236,6 +236,29 @@
   EXPECT_EQ(started(1), "w");
 }
 
+// After a full stop every node answered "not ready" to who came first, though the description was there a moment later.
+TEST_F(Desks, who_asks_a_node_that_has_just_begun_is_kept_for_a_moment) {
+  worker("w");
+  dispatcher.in_force(std::make_shared<Creed>());
+  dispatcher.begun(now);
+  EXPECT_TRUE(place(1, "safe").empty());
+  EXPECT_TRUE(out.denials.empty());
+  dispatcher.in_force(usual());
+  wait(millis(100));
+  EXPECT_EQ(started(1), "w");
+  // But not for ever, and not once it should know.
+  dispatcher.in_force(std::make_shared<Creed>());
+  place(2, "safe");
+  Micros const from = now;
+  wait(seconds(3));
+  ASSERT_EQ(out.denials.size(), 1u);
+  EXPECT_LE(now - from, seconds(1));
+  EXPECT_GT(out.denials[0].wait, 0);
+  now += seconds(20);
+  place(3, "safe");
+  ASSERT_EQ(out.denials.size(), 1u);
+}
+
 TEST_F(Desks, a_second_worker_is_tried_where_nothing_has_left) {
   worker("w");
   worker("v");
--- /dev/null
+++ b/tests/wide.cc
@@ -0,0 +1,242 @@
+// Many nodes whose workers register themselves, as cores under virtual time with wires that lose nothing (§3.6, §12.7).
+#include <gtest/gtest.h>
+
+#include <deque>
+
+#include "core/node.h"
+#include "ground/events.h"
+
+namespace pipit {
+
+namespace {
+constexpr Micros step = millis(50);
+constexpr Micros way = millis(1);
+
+class Field {
+ public:
+  Field(std::size_t count, std::size_t zones, std::size_t keepers) {
+    hush(true);
+    for (std::size_t i = 0; i < count; ++i) {
+      NodePlan plan;
+      plan.name = "n" + std::to_string(100 + i);
+      plan.zone = "z" + std::to_string(i % zones);
+      plan.address = "10.0.0." + std::to_string(i + 1) + ":7000";
+      for (std::size_t s = 0; s < 3; ++s) plan.seeds.push_back("10.0.0." + std::to_string(s + 1) + ":7000");
+      plan.registered = true;
+      plan.first_start = true;
+      plan.keeper = i < keepers;
+      plan.chance = i + 1;
+      plan.incarnation = 1000 + i;
+      std::optional<wire::RecordT> slate;
+      if (plan.keeper) {
+        slate.emplace();
+        slate->cluster = plan.cluster;
+        slate->name = plan.name;
+        slate->disk = 77 + i;
+      }
+      at[plan.address] = nodes.size();
+      nodes.push_back(std::make_unique<Node>(plan, now, std::move(slate)));
+      replies.emplace_back();
+    }
+  }
+
+  void run(Micros span) {
+    for (Micros const stop = now + span; now < stop;) {
+      Micros next = (now / step + 1) * step;
+      while (!mail.empty() && mail.front().due <= next) {
+        Mail const item = std::move(mail.front());
+        mail.pop_front();
+        now = std::max(now, item.due);
+        if (!ends.count(item.wire)) continue;
+        ++frames;
+        bytes += item.bytes.size();
+        NodeOut out;
+        if (!nodes[item.to]->bytes(item.wire, item.bytes, now, out)) shut(item.wire);
+        act(item.to, out);
+      }
+      now = next;
+      for (std::size_t i = 0; i < nodes.size(); ++i) {
+        NodeOut out;
+        nodes[i]->tick(now, out);
+        act(i, out);
+      }
+    }
+  }
+
+  void act(std::size_t from, NodeOut& out) {
+    if (out.save) saves.push_back(from);
+    for (std::string const& address : out.mesh.dials) dial(from, address);
+    for (Sends::Send& send : out.mesh.sends) {
+      std::map<WireId, std::pair<std::size_t, std::size_t>>::const_iterator const spot = ends.find(send.wire);
+      if (spot == ends.end()) continue;
+      std::size_t const to = spot->second.first == from ? spot->second.second : spot->second.first;
+      mail.push_back({now + way, to, send.wire, std::move(send.bytes)});
+    }
+    for (WireId const id : out.mesh.shuts) shut(id, from);
+    for (Reply& item : out.replies) replies[from].push_back(std::move(item));
+    while (!saves.empty()) {
+      std::size_t const who = saves.back();
+      saves.pop_back();
+      NodeOut more;
+      nodes[who]->disk_done(now, more);
+      act(who, more);
+    }
+  }
+
+  void beat(std::size_t node, Beat const& word) {
+    NodeOut out;
+    nodes[node]->beat(word, now, out);
+    act(node, out);
+  }
+
+  Micros now = seconds(10);
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::vector<std::vector<Reply>> replies;
+  std::uint64_t frames = 0;
+  std::uint64_t bytes = 0;
+
+ private:
+  struct Mail {
+    Micros due;
+    std::size_t to;
+    WireId wire;
+    std::string bytes;
+  };
+  void dial(std::size_t from, std::string const& address) {
+    std::map<std::string, std::size_t>::const_iterator const to = at.find(address);
+    NodeOut out;
+    if (to == at.end()) {
+      nodes[from]->dial_failed(address, true, now, out);
+      return act(from, out);
+    }
+    WireId const id = ++wires;
+    ends[id] = {from, to->second};
+    nodes[from]->opened(id, true, address, now, out);
+    act(from, out);
+    NodeOut other;
+    nodes[to->second]->opened(id, false, "", now, other);
+    act(to->second, other);
+  }
+  void shut(WireId id, std::size_t but = SIZE_MAX) {
+    std::map<WireId, std::pair<std::size_t, std::size_t>>::const_iterator const spot = ends.find(id);
+    if (spot == ends.end()) return;
+    std::pair<std::size_t, std::size_t> const both = spot->second;
+    ends.erase(spot);
+    for (std::size_t const who : {both.first, both.second}) {
+      if (who == but) continue;
+      NodeOut out;
+      nodes[who]->shut(id, now, out);
+      act(who, out);
+    }
+  }
+
+  std::map<std::string, std::size_t> at;
+  std::map<WireId, std::pair<std::size_t, std::size_t>> ends;
+  std::deque<Mail> mail;
+  std::vector<std::size_t> saves;
+  WireId wires = 0;
+};
+
+Beat word_of(std::string const& id, std::uint64_t order) {
+  Beat out;
+  out.id = id;
+  out.address = "10.9.0.1:80";
+  out.zone = "z0";
+  out.pool = "p";
+  out.slots = 8;
+  out.order = order;
+  return out;
+}
+}  // namespace
+
+// Those that met while both knew no worker at all were never told of one: a marked worker got requests for good.
+TEST(Wide, every_node_hears_of_workers_and_of_their_leaving) {
+  Field field(40, 4, 8);
+  field.run(seconds(8));
+  for (std::uint64_t w = 0; w < 12; ++w) field.beat((w * 7) % 40, word_of("w" + std::to_string(w), 1));
+  field.run(millis(300));
+  for (std::unique_ptr<Node> const& node : field.nodes) ASSERT_EQ(node->registry.all.size(), 12u) << node->plan.name;
+  for (std::uint64_t w = 0; w < 12; ++w) {
+    Beat word = word_of("w" + std::to_string(w), 2);
+    word.leaving = true;
+    field.beat((w * 7 + 3) % 40, word);
+  }
+  field.run(millis(300));
+  for (std::unique_ptr<Node> const& node : field.nodes)
+    for (std::pair<std::string const, Instance> const& item : node->registry.all)
+      EXPECT_EQ(item.second.standing, Standing::leaving) << item.first << " at " << node->plan.name;
+}
+
+// Full tables on every ping and everything told to everybody ended 72 small machines. What a calm second costs a node
+// may grow with the fleet no faster than its wires are looked after.
+TEST(Wide, a_calm_second_costs_a_node_few_frames) {
+  double small = 0;
+  for (std::size_t const count : {std::size_t(30), std::size_t(60)}) {
+    Field field(count, 4, 8);
+    field.run(seconds(10));
+    field.frames = field.bytes = 0;
+    field.run(seconds(10));
+    double const each = static_cast<double>(field.frames) / static_cast<double>(count) / 10;
+    double const load = static_cast<double>(field.bytes) / static_cast<double>(count) / 10;
+    EXPECT_LT(each, 40) << count;
+    EXPECT_LT(load, 8192) << count;
+    if (small > 0) EXPECT_LT(each, small * 1.6) << "twice the nodes";
+    small = each;
+  }
+}
+
+// While workers come and go all the time, whole tables and ledgers must not be sent at every ping.
+TEST(Wide, repairs_stay_rare_while_changes_are_on_their_way) {
+  Field field(40, 4, 8);
+  field.run(seconds(10));
+  for (std::uint64_t w = 0; w < 100; ++w) field.beat(w % 40, word_of("w" + std::to_string(w), 1));
+  field.run(seconds(3));
+  field.bytes = 0;
+  for (std::uint64_t w = 100; w < 160; ++w) {
+    field.beat(w % 40, word_of("w" + std::to_string(w), 1));
+    field.run(millis(100));
+  }
+  double const load = static_cast<double>(field.bytes) / 40 / 6;
+  EXPECT_LT(load, 40000) << "bytes a second and node";
+}
+
+TEST(Wide, work_is_heard_by_all_and_counted_once) {
+  Field field(40, 4, 8);
+  field.run(seconds(8));
+  field.beat(0, word_of("w", 1));
+  field.run(millis(300));
+  for (std::size_t const who : {std::size_t(0), std::size_t(5), std::size_t(39)}) {  // a hub and two others
+    field.nodes[who]->exchange.work("w", seconds(100));
+    field.nodes[who]->registry.find("w")->work(seconds(100), field.now);
+  }
+  field.run(millis(400));
+  for (std::unique_ptr<Node> const& node : field.nodes) {
+    Micros const busy = node->registry.find("w")->busy(field.now);
+    EXPECT_GT(busy, seconds(299)) << node->plan.name;
+    EXPECT_LE(busy, seconds(300)) << node->plan.name;
+  }
+}
+
+TEST(Wide, the_first_keepers_are_the_seeds_and_a_change_reaches_all) {
+  Field field(40, 4, 8);
+  field.run(seconds(20));
+  EXPECT_EQ(field.nodes[0]->learner.ring().keepers.size(), 7u) << "an odd number of all that keep";
+  Change change;
+  change.sort = Change::Sort::apply;
+  change.text = R"({"format":1,"pools":[{"name":"p","model":"m"}],"lanes":[],)"
+                R"("routes":[{"name":"r","host":"h","prefix":"/","shares":[{"pool":"p"}]}]})";
+  change.expected = 0;
+  change.label = 7;
+  NodeOut out;
+  field.nodes[31]->operate(1, change, field.now, out);
+  field.act(31, out);
+  field.run(millis(900));
+  ASSERT_EQ(field.replies[31].size(), 1u);
+  EXPECT_EQ(field.replies[31][0].outcome.sort, Outcome::Sort::chosen);
+  for (std::unique_ptr<Node> const& node : field.nodes) {
+    EXPECT_EQ(node->learner.serial(), 1u) << node->plan.name;
+    EXPECT_EQ(node->dispatcher.creed()->routes.size(), 1u) << node->plan.name;
+  }
+}
+
+}  // namespace pipit
