One keeper proposes for all nodes; without its answer a node proposes itself

Cause of changes without ack in races on the grown utility: proposers at 10 Mbit/s take a quarter of a second a round and outbid each other. Ruled out: the disk (7 of 8 calm), lost frames (all wires up).

--- a/src/core/changes.cc
+++ b/src/core/changes.cc
@@ -16,6 +16,11 @@
   watch_clock(now);
   if (change.id.empty())
     change.id = plan.name + "-" + std::to_string(plan.incarnation) + "-" + std::to_string(++change_count);
+  if (hand_over(id, change, now, out)) return;
+  propose(id, std::move(change), now, out);
+}
+
+void Node::propose(std::uint64_t id, Change change, Micros now, NodeOut& out) {
   Change const kept = change;
   bool const taken = proposer.ask(
       std::move(change),
--- /dev/null
+++ b/src/core/handed.cc
@@ -0,0 +1,106 @@
+// Changes that one keeper proposes for all (§12.8). Any node may still propose: a change that is not answered in time is
+// proposed here under the same id, and the register takes it once.
+#include "core/node.h"
+#include "ground/events.h"
+
+namespace pipit {
+
+namespace {
+constexpr Micros answer_within = millis(600);
+constexpr std::uint64_t handed_mark = 1ull << 63;  // ids of changes proposed for others
+}  // namespace
+
+std::string Node::proposing_keeper() const {
+  std::string best;
+  for (wire::KeeperT const& keeper : learner.ring().keepers) {
+    bool here = keeper.name == plan.name && plan.keeper && !leaving;
+    std::map<std::string, Peer>::const_iterator const peer = mesh.roll.peers.find(keeper.name);
+    if (peer != mesh.roll.peers.end()) here = peer->second.wire != 0 && peer->second.state() == State::alive;
+    if (here && (best.empty() || keeper.name < best)) best = keeper.name;
+  }
+  return best;
+}
+
+bool Node::hand_over(std::uint64_t id, Change const& change, Micros now, NodeOut& out) {
+  if (!plan.registered || id == 0 || (id & handed_mark) != 0) return false;
+  if (change.sort != Change::Sort::apply && change.sort != Change::Sort::read) return false;
+  std::string const keeper = proposing_keeper();
+  if (keeper.empty() || keeper == plan.name) return false;
+  std::uint64_t const req = ++next_req;
+  wire::ProposeT ask;
+  ask.req = req;
+  ask.sort = static_cast<std::uint8_t>(change.sort);
+  ask.id = change.id;
+  ask.text = change.text;
+  ask.expected = change.expected;
+  ask.label = change.label;
+  if (!mesh.post(keeper, std::move(ask), out.mesh)) return false;
+  handed[req] = Handed{id, change, now + answer_within};
+  return true;
+}
+
+void Node::take_handed(std::string const& from, wire::ProposeT const& ask, Micros now, NodeOut& out) {
+  if (ask.sort != static_cast<std::uint8_t>(Change::Sort::apply) && ask.sort != static_cast<std::uint8_t>(Change::Sort::read))
+    return;
+  Change change;
+  change.sort = static_cast<Change::Sort>(ask.sort);
+  change.id = ask.id;
+  change.text = ask.text;
+  change.expected = ask.expected;
+  change.label = ask.label;
+  std::uint64_t const id = handed_mark | ++next_req;
+  asked_by[id] = Asked{from, ask.req};
+  propose(id, std::move(change), now, out);
+}
+
+void Node::take_answer(wire::ProposedT const& ans, Micros now, NodeOut& out) {
+  std::map<std::uint64_t, Handed>::iterator const spot = handed.find(ans.req);
+  if (spot == handed.end() || ans.sort > static_cast<std::uint8_t>(Outcome::Sort::unknown) || ans.kind >= kind_count()) return;
+  Reply reply;
+  reply.id = spot->second.id;
+  reply.change = spot->second.change.id;
+  handed.erase(spot);
+  reply.outcome.sort = static_cast<Outcome::Sort>(ans.sort);
+  reply.outcome.fault.kind = static_cast<Kind>(ans.kind);
+  reply.outcome.fault.why = ans.why;
+  reply.outcome.serial = ans.serial;
+  if (ans.value) {
+    reply.outcome.value = *ans.value;
+    // What a majority chose is known here too from now on.
+    if (learner.adopt(*ans.value, now)) after_value(now, out);
+  }
+  out.replies.push_back(std::move(reply));
+}
+
+void Node::settle_handed(Micros now, NodeOut& out) {
+  for (std::vector<Reply>::iterator it = out.replies.begin(); it != out.replies.end();) {
+    std::map<std::uint64_t, Asked>::iterator const who = asked_by.find(it->id);
+    if (who == asked_by.end()) {
+      ++it;
+      continue;
+    }
+    Outcome const& outcome = it->outcome;
+    wire::ProposedT ans;
+    ans.req = who->second.req;
+    ans.sort = static_cast<std::uint8_t>(outcome.sort);
+    ans.kind = static_cast<std::uint8_t>(outcome.fault.kind);
+    ans.why = outcome.fault.why;
+    ans.serial = outcome.serial;
+    bool const holds = outcome.sort == Outcome::Sort::chosen || outcome.sort == Outcome::Sort::kept;
+    if (holds) ans.value = std::make_unique<wire::ValueT>(outcome.value);
+    mesh.post(who->second.from, std::move(ans), out.mesh);
+    asked_by.erase(who);
+    it = out.replies.erase(it);
+  }
+  for (std::map<std::uint64_t, Handed>::iterator it = handed.begin(); it != handed.end();) {
+    if (now < it->second.due) {
+      ++it;
+      continue;
+    }
+    Handed item = std::move(it->second);
+    it = handed.erase(it);
+    propose(item.id, std::move(item.change), now, out);
+  }
+}
+
+}  // namespace pipit
--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -219,6 +219,12 @@
       } else
         fleet.peer_legs(from, *body.AsLoads(), now);
       break;
+    case wire::Body::Propose:
+      take_handed(from, *body.AsPropose(), now, out);
+      break;
+    case wire::Body::Proposed:
+      take_answer(*body.AsProposed(), now, out);
+      break;
     case wire::Body::Doubt:
       // Asked at once; a worker that is well is back in a moment.
       if (fleet.doubt(body.AsDoubt()->worker, body.AsDoubt()->incarnation, now))
@@ -333,6 +339,7 @@
   }
   if (!from.empty()) deliver(from, frame.value()->body, now, out);
   if (!waiting.empty()) settle_waiting(now, out);
+  settle_handed(now, out);
   return true;
 }
 
@@ -357,6 +364,7 @@
   acceptor->synced(letters);
   if (std::optional<wire::RecordT> save = acceptor->step(letters)) out.save = std::move(save);
   dispatch(letters, now, out);
+  settle_handed(now, out);
 }
 
 void Node::list(std::optional<std::vector<ListRow>> const& rows, bool answered, Micros now, NodeOut& out) {
@@ -521,6 +529,7 @@
   dispatch(letters, now, out);
   duties(now, out);
   settle_waiting(now, out);
+  settle_handed(now, out);
 }
 
 void Node::errand(std::uint64_t id, Ask ask, Micros now, NodeOut& out) {
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -148,6 +148,13 @@
   Paths paths() const;
   std::string hub_of(std::string const& zone) const;
   void forward(wire::ChosenT const& news, NodeOut& out);
+  // Changes go to one keeper, so that proposers do not outbid each other (§12.8).
+  std::string proposing_keeper() const;
+  bool hand_over(std::uint64_t id, Change const& change, Micros now, NodeOut& out);
+  void take_handed(std::string const& from, wire::ProposeT const& ask, Micros now, NodeOut& out);
+  void take_answer(wire::ProposedT const& ans, Micros now, NodeOut& out);
+  void settle_handed(Micros now, NodeOut& out);
+  void propose(std::uint64_t id, Change change, Micros now, NodeOut& out);
   Micros poll_span() const;
   bool half_has(std::uint64_t turn) const;
   bool seated() const;
@@ -215,6 +222,17 @@
     Outcome outcome;
   };
   std::vector<Ended> ended;
+  struct Handed {  // a change that a keeper was asked to propose
+    std::uint64_t id = 0;
+    Change change;
+    Micros due = 0;
+  };
+  std::map<std::uint64_t, Handed> handed;
+  struct Asked {  // by whom this node was asked to propose
+    std::string from;
+    std::uint64_t req = 0;
+  };
+  std::map<std::uint64_t, Asked> asked_by;
 };
 
 }  // namespace pipit
