--- a/programs/decree/main.cc
+++ b/programs/decree/main.cc
@@ -1,5 +1,7 @@
 // decree: the operator's command line (§8.2). Exit codes: 0 done, 1 refused, 2 bad usage or input,
 // 3 the outcome is not known, 4 not reached or no majority, 5 taken but not confirmed by all.
+#include <glib.h>
+
 #include <boost/program_options.hpp>
 #include <cstdio>
 #include <fstream>
@@ -8,6 +10,7 @@
 
 #include "canon/creed/creed.h"
 #include "ground/ip.h"
+#include "ground/micros.h"
 #include "hull/http/talk.h"
 
 namespace pipit {
@@ -49,6 +52,7 @@
     "  decree forget NODE               a router node that is gone for good no longer counts\n"
     "  decree change ID                 whether a change whose outcome was unknown was chosen\n"
     "  decree status                    what one node knows, as JSON\n"
+    "  decree wait [--within SECONDS]   until the node is ready to serve; 20 seconds at most unless told\n"
     "Exit codes: 0 done; 1 refused; 2 bad usage or description; 3 outcome unknown; 4 not reached or no majority;\n"
     "            5 chosen, but not confirmed by every node yet\n";
 
@@ -57,10 +61,12 @@
   std::string node = "127.0.0.1:7080";
   std::string expect;
   bool marks = false;
+  unsigned within = 20;
   options::options_description flags("Flags");
   flags.add_options()("node", options::value(&node), "IP:port of any node (default 127.0.0.1:7080)")(
       "expect", options::value(&expect), "the serial that the change expects")(
-      "marks", options::bool_switch(&marks), "print serial and emptied zones, not the text")("help", "this text");
+      "marks", options::bool_switch(&marks), "print serial and emptied zones, not the text")(
+      "within", options::value(&within), "seconds that 'wait' waits at most (default 20)")("help", "this text");
   options::options_description all;
   all.add(flags);
   all.add_options()("words", options::value(&words));
@@ -131,6 +137,15 @@
   }
   if (verb == "change" && two) return show(talk("GET", node, "/v1/changes/" + words[1], nullptr, ""));
   if (verb == "status" && words.size() == 1) return show(talk("GET", node, "/v1/status", nullptr, ""));
+  if (verb == "wait" && words.size() == 1) {
+    Micros const stop = g_get_monotonic_time() + seconds(within);
+    Got got = talk("GET", node, "/ready", nullptr, "");
+    while (got.status != 200 && g_get_monotonic_time() < stop) {
+      g_usleep(100000);
+      got = talk("GET", node, "/ready", nullptr, "");
+    }
+    return show(got);
+  }
   std::fputs(usage, stderr);
   return 2;
 }
--- /dev/null
+++ b/tests/quickstart.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Pastes the README's first quick start in one go from an empty folder beside the programs: it must end in a streamed
+# answer. The programs are those of the build folder given.
+set -euo pipefail
+build=$(cd "$1" && pwd)
+readme=$2
+folder=$(mktemp -d)
+trap 'kill $(jobs -p) 2>/dev/null || true; rm -rf "$folder"' EXIT
+for name in mimic accord passage decree; do ln -s "$build/$name" "$folder/$name"; done
+awk '/^## /{on=($0=="## Quick start")} on && /^    /{print substr($0,5)}' "$readme" | sed 's/^cd build$/cd ./' > "$folder/paste.sh"
+grep -q 'curl -N' "$folder/paste.sh"
+cd "$folder"
+mkdir -p k1 k2 k3
+timeout 60 bash -m paste.sh > out.txt 2>&1 || { cat out.txt; exit 1; }
+cat out.txt | grep -a '^data: ' | tail -3
+grep -aq '^data: \[DONE\]' out.txt
