--- a/proof/augury/main.cc
+++ b/proof/augury/main.cc
@@ -8,6 +8,7 @@
 #include <sstream>
 #include <thread>
 
+#include "base/invariants.h"
 #include "base/events.h"
 #include "base/flags.h"
 #include "proof/augury/world.h"
@@ -115,7 +116,8 @@
       static_cast<long long>(worst.force / 1000), static_cast<long long>(worst.back / 1000), worst.cold, worst.resend);
   for (std::pair<std::string const, int> const& item : kinds) std::printf("%s %d, ", item.first.c_str(), item.second);
   std::printf("\n");
-  return bad == 0 && done > 0 ? 0 : 1;
+  if (violations() > 0) std::printf("%llu violations of invariants\n", static_cast<unsigned long long>(violations()));
+  return bad == 0 && done > 0 && violations() == 0 ? 0 : 1;
 }
 
 }  // namespace
--- a/proof/checker/main.cc
+++ b/proof/checker/main.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "base/invariants.h"
 #include "base/guards.h"
 #include "proof/checker/scenarios.h"
 #include "proof/checker/search.h"
@@ -172,5 +173,6 @@
     std::fflush(stdout);
     faulty = faulty || !finding.fault.empty();
   }
-  return faulty ? 1 : 0;
+  if (violations() > 0) std::printf("%llu violations of invariants\n", static_cast<unsigned long long>(violations()));
+  return faulty || violations() > 0 ? 1 : 0;
 }
--- a/proof/control_plane/main.cc
+++ b/proof/control_plane/main.cc
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "base/events.h"
+#include "base/invariants.h"
 #include "proof/control_plane/scenarios.h"
 
 namespace pipit::control_plane {
@@ -111,7 +112,8 @@
   std::uint64_t faulty = 0;
   for (Scenario const& item : scenarios())
     if (name == "all" || name == item.name) faulty += sweep(item, plan);
-  return faulty == 0 ? 0 : 1;
+  if (violations() > 0) std::printf("%llu violations of invariants\n", static_cast<unsigned long long>(violations()));
+  return faulty == 0 && violations() == 0 ? 0 : 1;
 }
 
 }  // namespace
--- a/proof/control_plane/world.cc
+++ b/proof/control_plane/world.cc
@@ -137,6 +137,7 @@
   made.registered = true;
   made.first_start = first_start;
   made.keeper = machine.keeper;
+  made.tolerated = plan.tolerated;
   machine.life = ++lives;
   made.incarnation = static_cast<std::uint64_t>(seconds(1000000) + time + machine.wall_offset + 1);
   made.chance = made.incarnation ^ hash_text(machine.name) ^ hash_bits(plan.seed);
--- a/proof/requests/world.cc
+++ b/proof/requests/world.cc
@@ -122,7 +122,7 @@
     dispatcher.ended(id, end, elsewhere, loop_time(), out);
     relay->act(out);
   };
-  callbacks.gone = [this](std::uint64_t id) { dispatcher.hung_up(id, loop_time()); };
+  callbacks.gone = [this](std::uint64_t id) { return dispatcher.hung_up(id, loop_time()); };
   relay = std::make_unique<Relay>(dispatcher, words(), "", std::move(callbacks));
   relay->upstream.dial_by([this](std::string const& address, std::string const&, Micros) { return dial(address); });
   for (int n = 0; n < 2; ++n) {
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -42,7 +42,10 @@
 void mute_log(bool quiet) { quiet_now = quiet; }
 
 void log_event(Event event, std::string const& detail) {
-  if (quiet_now) return;
+  if (!quiet_now) log_always(event, detail);
+}
+
+void log_always(Event event, std::string const& detail) {
   switch (event) {
 #define EVENT(number, name, level, text)                                                                  \
   case Event::name:                                                                                       \
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -15,6 +15,8 @@
   EVENT(105, clock_jumped, WARNING, "the node was stopped for a while")                     \
   EVENT(106, isolated, WARNING, "no late reading of the list is known; nothing is placed")  \
   EVENT(107, not_isolated, INFO, "the list is known again")                                 \
+  EVENT(109, ready, INFO, "the node takes requests")                                        \
+  EVENT(110, not_ready, WARNING, "the node waits before it takes requests")                 \
   EVENT(200, wire_open, INFO, "a wire to a peer is open")                                   \
   EVENT(201, wire_shut, INFO, "a wire to a peer has ended")                                 \
   EVENT(202, wire_garbage, WARNING, "a wire brought what is no frame")                      \
@@ -43,6 +45,7 @@
   EVENT(313, seat_taken, INFO, "this life of the router node has its seat")                 \
   EVENT(314, seat_struck, INFO, "a router node that is gone is struck from the register")   \
   EVENT(315, disk_waits, WARNING, "the disk refused a record; it is written again")         \
+  EVENT(316, order_answered, INFO, "an operator's call was answered")                       \
   EVENT(400, worker_joined, INFO, "a worker takes requests")                                \
   EVENT(401, worker_leaving, INFO, "a worker is marked as leaving")                         \
   EVENT(402, worker_gone, INFO, "a worker is no longer listed")                             \
@@ -51,13 +54,18 @@
   EVENT(405, list_failed, WARNING, "the platform's list could not be read")                 \
   EVENT(406, list_back, INFO, "the platform's list can be read again")                      \
   EVENT(407, worker_doubted, WARNING, "a connection to a worker broke or fell silent")      \
+  EVENT(408, worker_end_answered, INFO, "a worker's word of its end was answered")          \
   EVENT(500, errand_refused, INFO, "a request was refused")                                 \
   EVENT(501, leg_failed, WARNING, "a send to a worker failed")                              \
   EVENT(502, leg_resent, INFO, "a request is sent a second time")                           \
   EVENT(503, stream_broke, WARNING, "a stream ended before its end")                        \
   EVENT(504, attempt_failed, WARNING, "an attempt at a worker failed")                      \
+  EVENT(505, request_failed, INFO, "a request ended without success")                       \
+  EVENT(506, failures_untold, WARNING, "requests that failed were only counted")            \
+  EVENT(507, call_refused, INFO, "a call could not be read and was refused")                \
   EVENT(900, fault_armed, WARNING, "a fault point was armed")                               \
-  EVENT(901, fault_fired, WARNING, "a fault point fired")
+  EVENT(901, fault_fired, WARNING, "a fault point fired")                                   \
+  EVENT(910, invariant_violated, ERROR, "an invariant does not hold")
 
 enum class Event : unsigned {
 #define EVENT(number, name, level, text) name = number,
@@ -75,6 +83,8 @@
 
 void open_log(std::string const& who, std::string const& file);
 void log_event(Event event, std::string const& detail);
+// Also while the log is muted: for what must never go unseen.
+void log_always(Event event, std::string const& detail);
 void mute_log(bool quiet);
 bool log_is_muted();
 // Put before each event of this thread: the simulator's word for who speaks, and when.
--- /dev/null
+++ b/src/base/invariants.cc
@@ -0,0 +1,58 @@
+#include "base/invariants.h"
+
+#include <atomic>
+#include <iterator>
+
+#include "base/events.h"
+#include "base/guards.h"
+#include "base/request_guards.h"
+
+namespace pipit {
+
+namespace {
+InvariantRow const rows[] = {
+#define INVARIANT(name, promises, text) {#name, promises, text},
+    PIPIT_INVARIANTS(INVARIANT)
+#undef INVARIANT
+};
+static_assert(std::size(rows) <= 64, "ExpectedViolations keeps 64 counts");
+
+constexpr std::uint64_t told_most = 100;  // of one invariant: the first ones explain it, the rest is counted
+
+std::atomic<std::uint64_t> counts[std::size(rows)];
+}  // namespace
+
+InvariantRow const* invariant_rows(std::size_t& count) {
+  count = std::size(rows);
+  return rows;
+}
+
+void violated(Invariant invariant, std::string const& detail) {
+  // A proof that switches a guard off brings violations about on purpose; the product never does.
+  if (guard_off() != Guard::none || request_guard_off() != RequestGuard::none) return;
+  std::size_t const index = static_cast<std::size_t>(invariant);
+  if (++counts[index] > told_most) return;
+  log_always(Event::invariant_violated, std::string(rows[index].name) + " (" + rows[index].text + "): " + detail);
+}
+
+std::uint64_t violations(Invariant invariant) { return counts[static_cast<std::size_t>(invariant)]; }
+
+std::uint64_t violations() {
+  std::uint64_t out = 0;
+  for (std::atomic<std::uint64_t> const& count : counts) out += count;
+  return out;
+}
+
+ExpectedViolations::ExpectedViolations() {
+  for (std::size_t i = 0; i < std::size(rows); ++i) before[i] = counts[i];
+}
+
+ExpectedViolations::~ExpectedViolations() {
+  for (std::size_t i = 0; i < std::size(rows); ++i) counts[i] = before[i];
+}
+
+std::uint64_t ExpectedViolations::seen(Invariant invariant) const {
+  return violations(invariant) - before[static_cast<std::size_t>(invariant)];
+}
+
+}  // namespace pipit
--- a/src/consensus/register/acceptor.cc
+++ b/src/consensus/register/acceptor.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/guards.h"
+#include "base/invariants.h"
 #include "config/description/description.h"
 #include "consensus/register/membership.h"
 #include "consensus/register/orders.h"
@@ -49,7 +50,29 @@
   return out;
 }
 
+namespace {
+std::string text_of(wire::Ballot const& ballot) {
+  return std::to_string(ballot.n()) + "." + std::to_string(ballot.who());
+}
+
+bool same_value(wire::ValueT const& a, wire::ValueT const& b) {
+  return a.revision == b.revision && a.serial == b.serial && a.label == b.label && a.epoch == b.epoch &&
+         a.text == b.text;
+}
+}  // namespace
+
 bool Acceptor::handle(std::string const& from, wire::BodyUnion& body, std::vector<OutgoingMessage>& out) {
+  wire::Ballot const promised = state.promised;
+  wire::Ballot const accepted = state.accepted;
+  bool const changed = answer(from, body, out);
+  check_invariant(!(state.promised < promised) && !(state.accepted < accepted), Invariant::promise_kept, [&] {
+    return "promised " + text_of(promised) + " then " + text_of(state.promised) + ", accepted " + text_of(accepted) +
+           " then " + text_of(state.accepted) + " by a frame of " + from;
+  });
+  return changed;
+}
+
+bool Acceptor::answer(std::string const& from, wire::BodyUnion& body, std::vector<OutgoingMessage>& out) {
   if (wire::PrepareT const* const ask = body.AsPrepare()) return prepare(from, *ask, out);
   if (wire::AcceptT* const ask = body.AsAccept()) return accept(from, *ask, out);
   if (wire::FoundT const* const ask = body.AsFound()) return found(*ask);
@@ -87,6 +110,10 @@
   bool const outdated = ask.ballot < state.promised && guard(Guard::promise);
   if (!outdated && same(ask.ballot, state.accepted)) {
     answer.ok = true;  // a repetition: the value of a ballot is one
+    check_invariant(!ask.value || !state.value || same_value(*ask.value, *state.value), Invariant::promise_kept, [&] {
+      return "ballot " + text_of(ask.ballot) + " has revision " + std::to_string(state.value->revision) + " here and " +
+             std::to_string(ask.value->revision) + " at " + from;
+    });
   } else if (!outdated) {
     std::unique_ptr<wire::ValueT> value = value_of(ask);
     answer.need_value = value == nullptr;
--- a/src/consensus/register/acceptor.h
+++ b/src/consensus/register/acceptor.h
@@ -48,8 +48,9 @@
   std::size_t backlog() const { return inbox.size(); }
 
  private:
-  // Each returns whether the durable state changed.
+  // Each returns whether the durable state changed. The first one also checks what no message may do to it.
   bool handle(std::string const& from, wire::BodyUnion& body, std::vector<OutgoingMessage>& out);
+  bool answer(std::string const& from, wire::BodyUnion& body, std::vector<OutgoingMessage>& out);
   bool prepare(std::string const& from, wire::PrepareT const& ask, std::vector<OutgoingMessage>& out);
   bool accept(std::string const& from, wire::AcceptT& ask, std::vector<OutgoingMessage>& out);
   bool found(wire::FoundT const& ask);
--- a/src/consensus/register/learner.cc
+++ b/src/consensus/register/learner.cc
@@ -2,17 +2,29 @@
 
 #include <algorithm>
 
+#include "base/invariants.h"
 #include "consensus/register/value_patch.h"
 
 namespace pipit {
 
 bool Learner::adopt(wire::ValueT const& fresh, Micros now) {
   // Every change raises the revision, and those of operators the serial with it.
+  if (value && value->revision == fresh.revision) check_same(fresh);
   if (value && value->revision >= fresh.revision) return false;
   replace(fresh, now);
   return true;
 }
 
+// Whatever is told here was chosen: two values of one revision must be one value.
+void Learner::check_same(wire::ValueT const& fresh) const {
+  bool const same_words = value->serial == fresh.serial && value->label == fresh.label && value->epoch == fresh.epoch;
+  check_invariant(same_words && value->text == fresh.text, Invariant::agreement, [&] {
+    return "revision " + std::to_string(fresh.revision) + ": change '" + value->change + "' label " +
+           std::to_string(value->label) + " epoch " + std::to_string(value->epoch) + " here, '" + fresh.change +
+           "' label " + std::to_string(fresh.label) + " epoch " + std::to_string(fresh.epoch) + " told";
+  });
+}
+
 bool Learner::adopt(wire::ValuePatchT const& patch, Micros now) {
   if (!value) return false;
   std::optional<wire::ValueT> fresh = patched(*value, patch);
--- a/src/consensus/register/learner.h
+++ b/src/consensus/register/learner.h
@@ -59,6 +59,7 @@
     std::uint64_t members = 0;  // the fingerprint of its value's set
   };
   void remember_members(wire::PeekedT const& ans);
+  void check_same(wire::ValueT const& fresh) const;
   void replace(wire::ValueT next, Micros now);
   // The keepers of the present poll that hold this ballot.
   Voters holders(wire::Ballot const& ballot) const;
--- a/src/core/changes.cc
+++ b/src/core/changes.cc
@@ -17,9 +17,11 @@
   watch_clock(now);
   if (change.id.empty())
     change.id = plan.name + "-" + std::to_string(plan.incarnation) + "-" + std::to_string(++change_count);
+  note_call(id, change);
   if (hand_over(id, change, now, out)) return;
   if (plan.registered && id != 0 && !quorum_heard(now)) return refuse_now(id, change, Kind::no_majority, out);
   propose(id, std::move(change), now, out);
+  check_replies(out);
 }
 
 bool Node::quorum_heard(Micros now) const {
--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -322,6 +322,7 @@
 // The value held here grew newer: it comes into force.
 void Node::after_value(Micros now, NodeOut& out) {
   wire::ValueT const& value = *learner.value;
+  check_value(value);
   // A seat raises the revision alone; what the description says was compiled when its serial came.
   if (value.serial != mesh.members.self.serial) {
     std::shared_ptr<Description const> description = std::make_shared<Description>();
@@ -359,6 +360,7 @@
   watch_clock(now);
   mesh.dial_failed(address, refused, now, out.mesh);
   settle_waiting(now, out);
+  check_replies(out);
 }
 
 bool Node::bytes(WireId id, std::string_view bytes, Micros now, NodeOut& out) {
@@ -388,6 +390,7 @@
   if (!from.empty()) deliver(from, frame.value()->body, now, out);
   if (!waiting.empty()) settle_waiting(now, out);
   settle_handed(now, out);
+  check_replies(out);
   return true;
 }
 
@@ -413,6 +416,7 @@
   if (std::optional<wire::RecordT> save = acceptor->step(outgoing)) out.save = std::move(save);
   dispatch(outgoing, now, out);
   settle_handed(now, out);
+  check_replies(out);
 }
 
 void Node::list(std::optional<std::vector<ListRow>> const& rows, bool answered, Micros now, NodeOut& out) {
@@ -506,6 +510,8 @@
   if (!able && newcomer(now)) return;
   if (!able) {
     able = true;
+    log_event(Event::ready, "revision " + std::to_string(learner.revision()) + ", " +
+                                std::to_string((now - born) / 1000) + " ms after its start");
     desk.ready(true);
     mesh.members.self.ready = true;
     mesh.announce_self(out.mesh);
@@ -585,6 +591,8 @@
   duties(now, out);
   settle_waiting(now, out);
   settle_handed(now, out);
+  check_replies(out);
+  tell_waiting(now);
 }
 
 void Node::errand(std::uint64_t id, Ask ask, Micros now, NodeOut& out) {
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -38,7 +38,8 @@
   std::vector<std::string> founding_seeds;
   Micros beat_gap = millis(1200);
   double resend_ratio = 0.15;
-  double resend_store = 30;  // of all nodes together
+  double resend_store = 30;   // of all nodes together
+  std::size_t tolerated = 1;  // keepers that may be lost at once with their disks
 };
 
 // What an operator asked, answered.
@@ -147,6 +148,14 @@
   void send_whole(std::string const& to, wire::BehindT const& ask, std::vector<OutgoingMessage>& outgoing) const;
   void settle(std::uint64_t id, Change const& change, Outcome const& outcome, Micros now, NodeOut& out);
   void settle_ended(Micros now, NodeOut& out);
+  // Invariants of what operators are told, and of the values that come into force (core/checks.cc).
+  void note_call(std::uint64_t id, Change const& change);
+  void check_replies(NodeOut const& out);
+  void check_reply(Reply const& reply);
+  void check_value(wire::ValueT const& value);
+  // Says now and then why this node does not take requests yet.
+  void tell_waiting(Micros now);
+  std::string waits_for(Micros now) const;
   void settle_waiting(Micros now, NodeOut& out);
   void look_ready(Micros now, NodeOut& out);
   void own_entries(Micros now, NodeOut& out);
@@ -251,6 +260,14 @@
   bool duty_busy = false;
   bool had_duty = false;
   Micros repaired_at = -seconds(60);
+  struct OpenCall {  // of an operator, until it is answered
+    Change::Type type = Change::Type::read;
+    std::string change;
+    std::uint64_t revision = 0;  // that was known here when it was asked
+  };
+  std::map<std::uint64_t, OpenCall> open_calls;
+  std::size_t settled_size = 0;  // of the last settled set of keepers that was in force here
+  Micros next_waiting = 0;
   struct Ended {
     std::uint64_t id;
     Change change;
--- a/src/flow/dispatch/dispatcher.cc
+++ b/src/flow/dispatch/dispatcher.cc
@@ -7,6 +7,7 @@
 #include "base/events.h"
 #include "base/guards.h"
 #include "base/hash.h"
+#include "base/invariants.h"
 #include "base/request_guards.h"
 
 namespace pipit {
@@ -106,12 +107,48 @@
 
 void Dispatcher::erase(std::uint64_t id) { requests.erase(id); }
 
-void Dispatcher::deny(Request& request, Kind kind, Micros wait, DispatchOut& out) {
+void Dispatcher::deny(Request& request, Kind kind, Micros wait, Micros now, DispatchOut& out) {
   ++(wait > 0 ? tally.refused : tally.failed);
-  out.denials.push_back({request.id, kind, wait});
+  out.denials.push_back({request.id, kind, wait, request.repeatable});
+  out.failed.push_back(failure_of(request, wait > 0 ? FailedEnd::refused : FailedEnd::failed, kind, now));
   erase(request.id);
 }
 
+// Its answer has begun and cannot be completed.
+void Dispatcher::break_off(Request& request, Micros now, DispatchOut& out) {
+  ++tally.broken;
+  out.breaks.push_back(request.id);
+  out.failed.push_back(failure_of(request, FailedEnd::broken, Kind::answer_torn, now));
+  erase(request.id);
+}
+
+char const* failed_end_word(FailedEnd end) {
+  static char const* const words[] = {"refused", "failed", "passed", "broken", "left"};
+  return words[static_cast<std::size_t>(end)];
+}
+
+FailedRequest Dispatcher::failure_of(Request const& request, FailedEnd end, Kind kind, Micros now) const {
+  FailedRequest out;
+  out.request = request.id;
+  out.end = end;
+  out.kind = kind;
+  if (request.route != nullptr) out.route = request.route->name;
+  out.worker = request.last_worker;
+  out.reach = request.reach;
+  out.held = now - request.came + request.query.read_for;
+  out.left = request.due > 0 ? request.due - now : 0;
+  out.sends = request.sends;
+  out.dials = request.dials;
+  return out;
+}
+
+Micros Dispatcher::oldest(Micros now) const {
+  Micros out = 0;
+  for (std::pair<std::uint64_t const, std::unique_ptr<Request>> const& item : requests)
+    out = std::max(out, now - item.second->came);
+  return out;
+}
+
 void Dispatcher::fresh(std::uint64_t id, Query query, Micros now, DispatchOut& out) {
   ++tally.asked;
   std::unique_ptr<Request> made = std::make_unique<Request>();
@@ -131,9 +168,9 @@
 // What the description says of it, once there is one.
 void Dispatcher::admit(Request& request, Micros now, DispatchOut& out) {
   request.rules = rules;
-  if (rules->routes.empty()) return deny(request, Kind::not_ready, millis(300), out);
+  if (rules->routes.empty()) return deny(request, Kind::not_ready, millis(300), now, out);
   request.route = rules->route(request.query.host, request.query.path);
-  if (request.route == nullptr) return deny(request, Kind::not_found, 0, out);
+  if (request.route == nullptr) return deny(request, Kind::not_found, 0, now, out);
   std::int64_t sum = 0;
   for (Route::Share const& share : request.route->shares) sum += share.weight;
   std::int64_t spot = static_cast<std::int64_t>(hash_bits(++turn ^ hash_text(self)) % static_cast<std::uint64_t>(sum));
@@ -144,12 +181,12 @@
     }
     spot -= share.weight;
   }
-  if (request.pool == nullptr) return deny(request, Kind::no_worker, millis(500), out);
+  if (request.pool == nullptr) return deny(request, Kind::no_worker, millis(500), now, out);
   request.repeatable = request.route->repeatable || (request.route->streams && request.route->resumable);
   request.tree = request.pool->name + "/" + request.query.model;
   Micros const left = request.query.left > 0 ? request.query.left : request.route->hold;
   request.due = request.came - request.query.read_for + std::min(left, request.route->hold) - way_back;
-  if (request.due <= now) return deny(request, Kind::expired, millis(100), out);
+  if (request.due <= now) return deny(request, Kind::expired, millis(100), now, out);
   request.give_up = request.came + std::min(request.route->aim / 5, left / 4);
   if (now - born < begin_span) request.give_up = request.came + std::min(begin_wait, left / 4);
   Bucket& earned = bucket(*request.pool);
@@ -262,7 +299,10 @@
 
 void Dispatcher::begin(Request& request, Instance& instance, std::int64_t missing, std::int64_t kept, Micros guess,
                        bool at_home, Micros now, DispatchOut& out) {
+  check_invariant(instance.takes(), Invariant::leaving_worker,
+                  [&] { return "request " + std::to_string(request.id) + " to " + instance.id; });
   request.at = instance.id;
+  request.last_worker = instance.id;
   request.reach = request.begun ? Reach::answering : Reach::none;
   request.from = now;
   request.heard = now;
@@ -323,6 +363,11 @@
   Request& request = *spot->second;
   ++tally.sends;
   if (++request.sends > 1) ++tally.resends;
+  bool const allowed = request.sends <= std::max<std::int64_t>(1, request.route->attempts);
+  check_invariant(allowed, Invariant::attempt_limit, [&] {
+    return "route " + request.route->name + " allows " + std::to_string(request.route->attempts) + ", sent " +
+           std::to_string(request.sends) + " times, now to " + request.at;
+  });
   if (request.reach == Reach::none) request.reach = Reach::sent;
 }
 
@@ -420,15 +465,14 @@
     case Fate::pass:
       ++tally.passed;
       out.passes.push_back(request.id);
+      out.failed.push_back(failure_of(request, FailedEnd::passed, Kind::worker_failed, now));
       return erase(request.id);
     case Fate::refuse:
-      return deny(request, Kind::worker_refused, millis(150), out);
+      return deny(request, Kind::worker_refused, millis(150), now, out);
     case Fate::fail:
-      return deny(request, Kind::worker_broke, 0, out);
+      return deny(request, Kind::worker_broke, 0, now, out);
     case Fate::cut:
-      ++tally.broken;
-      out.breaks.push_back(request.id);
-      return erase(request.id);
+      return break_off(request, now, out);
   }
 }
 
@@ -442,12 +486,14 @@
   if (load * 5 >= at->slots * 2) exchange.load(at->id, load);
 }
 
-void Dispatcher::hung_up(std::uint64_t id, Micros now) {
+std::optional<FailedRequest> Dispatcher::hung_up(std::uint64_t id, Micros now) {
   std::map<std::uint64_t, std::unique_ptr<Request>>::iterator const spot = requests.find(id);
-  if (spot == requests.end()) return;
+  if (spot == requests.end()) return std::nullopt;
   ++tally.hangups;
+  FailedRequest const out = failure_of(*spot->second, FailedEnd::left, Kind::caller_gone, now);
   if (!spot->second->at.empty()) release(*spot->second);
   erase(id);
+  return out;
 }
 
 // A node that stood still has not read what came meanwhile: that is no silence of its workers.
@@ -478,13 +524,11 @@
       if (!request.at.empty()) continue;
       if (now < std::min(request.give_up, request.due)) continue;
       if (request.begun) {
-        ++tally.broken;
-        out.breaks.push_back(id);
-        erase(id);
+        break_off(request, now, out);
       } else if (request.ran && !request.repeatable) {
-        deny(request, Kind::worker_broke, 0, out);
+        deny(request, Kind::worker_broke, 0, now, out);
       } else {
-        deny(request, Kind::no_worker, millis(250), out);
+        deny(request, Kind::no_worker, millis(250), now, out);
       }
       continue;
     }
@@ -495,13 +539,11 @@
       bool const begun = request.begun;
       release(request);
       if (begun) {
-        ++tally.broken;
-        out.breaks.push_back(id);
-        erase(id);
+        break_off(request, now, out);
       } else if (reached) {
-        deny(request, Kind::worker_silent, 0, out);
+        deny(request, Kind::worker_silent, 0, now, out);
       } else {
-        deny(request, Kind::worker_unreached, millis(100), out);
+        deny(request, Kind::worker_unreached, millis(100), now, out);
       }
       continue;
     }
@@ -530,6 +572,24 @@
     out.cuts.push_back(id);
     ended(id, AttemptEnd::silent, false, now, out);
   }
+  check_requests(now);
+}
+
+// After each tick nobody waits beyond the time, and every request that came is under way or had one end.
+void Dispatcher::check_requests(Micros now) const {
+  for (std::pair<std::uint64_t const, std::unique_ptr<Request>> const& item : requests) {
+    Request const& request = *item.second;
+    bool const in_time = request.route == nullptr || now < request.due;
+    check_invariant(in_time, Invariant::answered_in_time, [&] {
+      return "route " + request.route->name + ", " + std::to_string((now - request.due) / 1000) +
+             " ms late, at worker '" + request.at + "'";
+    });
+  }
+  std::uint64_t const ended = tally.served + tally.refused + tally.failed + tally.passed + tally.broken + tally.hangups;
+  check_invariant(tally.asked == ended + requests.size(), Invariant::request_ends_once, [&] {
+    return std::to_string(tally.asked) + " came, " + std::to_string(ended) + " ended, " +
+           std::to_string(requests.size()) + " are under way";
+  });
 }
 
 }  // namespace pipit
--- a/src/flow/dispatch/dispatcher.h
+++ b/src/flow/dispatch/dispatcher.h
@@ -3,6 +3,7 @@
 #pragma once
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -50,6 +51,31 @@
   std::uint64_t request = 0;
   Kind kind = Kind::internal;
   Micros wait = 0;  // after which it may be asked again; 0: nothing is promised
+  bool may_repeat = false;
+};
+
+// How a request ended that was not served.
+enum class FailedEnd : std::uint8_t {
+  refused,  // told that it has not run, and when to come back
+  failed,   // answered with a failure of this node's own
+  passed,   // answered with its worker's own failure
+  broken,   // its answer was broken off
+  left,     // its caller left
+};
+char const* failed_end_word(FailedEnd end);
+
+// What explains afterwards why a request was not served.
+struct FailedRequest {
+  std::uint64_t request = 0;
+  FailedEnd end = FailedEnd::failed;
+  Kind kind = Kind::internal;  // of what was refused or failed
+  std::string route;
+  std::string worker;         // the last one it was sent to
+  Reach reach = Reach::none;  // how far that attempt came
+  Micros held = 0;            // since its first byte
+  Micros left = 0;            // of its time
+  int sends = 0;              // workers that a byte may have reached
+  int dials = 0;
 };
 
 struct DispatchOut {
@@ -58,7 +84,10 @@
   std::vector<Denial> denials;        // before any part of an answer
   std::vector<std::uint64_t> breaks;  // answers that cannot be completed
   std::vector<std::uint64_t> passes;  // the worker's own failure goes back
-  bool empty() const { return starts.empty() && cuts.empty() && denials.empty() && breaks.empty() && passes.empty(); }
+  std::vector<FailedRequest> failed;  // each request that ended without success, for the log
+  bool empty() const {
+    return starts.empty() && cuts.empty() && denials.empty() && breaks.empty() && passes.empty() && failed.empty();
+  }
 };
 
 struct DispatchTally {
@@ -95,13 +124,16 @@
   // What was passed on does not tell from where another worker would have to go on: the answer ends at its worker.
   void unmarked(std::uint64_t id);
   void ended(std::uint64_t id, AttemptEnd end, bool elsewhere, Micros now, DispatchOut& out);
-  void hung_up(std::uint64_t id, Micros now);
+  // The caller left; what is known of the request goes along for the log.
+  std::optional<FailedRequest> hung_up(std::uint64_t id, Micros now);
   // The worker of the attempt said how many requests run and wait there.
   void said(std::uint64_t id, std::int64_t load, Micros now);
   void tick(Micros now, DispatchOut& out);
 
   Route const* route_of(std::uint64_t id) const;
   std::size_t under_way() const { return requests.size(); }
+  // How long the oldest request has been held.
+  Micros oldest(Micros now) const;
   std::shared_ptr<Description const> const& description() const { return rules; }
   DispatchTally tally;
 
@@ -121,6 +153,7 @@
     int dials = 0;
     bool ran = false;  // an attempt that has ended may have run
     std::set<std::string> tried;
+    std::string last_worker;  // that it was sent to, for the log
     // The attempt under way.
     std::string at;
     Reach reach = Reach::none;
@@ -143,7 +176,10 @@
              Micros now, DispatchOut& out);
   bool another_takes(Request const& request) const;
   void release(Request& request);
-  void deny(Request& request, Kind kind, Micros wait, DispatchOut& out);
+  void deny(Request& request, Kind kind, Micros wait, Micros now, DispatchOut& out);
+  void break_off(Request& request, Micros now, DispatchOut& out);
+  FailedRequest failure_of(Request const& request, FailedEnd end, Kind kind, Micros now) const;
+  void check_requests(Micros now) const;
   void obey(Request& request, Fate fate, Micros now, DispatchOut& out);
   static bool resumable(Request const& request);
   void note_stillness(Micros now);
--- a/src/gate/net/server.cc
+++ b/src/gate/net/server.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "base/events.h"
 #include "gate/net/clock.h"
 
 namespace pipit {
@@ -80,6 +81,7 @@
 }
 
 void Server::refuse(Conn& conn, unsigned status) {
+  log_event(Event::call_refused, std::to_string(status));
   Head head;
   head.status = status;
   conn.link->write(answer_text(head, 0, true));
--- /dev/null
+++ b/src/gate/relay/failure_log.cc
@@ -0,0 +1,40 @@
+#include "gate/relay/failure_log.h"
+
+#include "base/events.h"
+
+namespace pipit {
+
+namespace {
+constexpr std::uint64_t lines_most = 40;  // a second
+
+char const* reach_word(Reach reach) {
+  static char const* const words[] = {"none", "sent", "answering"};
+  return words[static_cast<std::size_t>(reach)];
+}
+
+std::string in_ms(Micros span) { return std::to_string(span / 1000); }
+}  // namespace
+
+bool FailureLog::affords(Micros now) {
+  if (second < 0 || now - second >= seconds(1)) {
+    second = now;
+    lines = 0;
+    if (untold > 0) log_event(Event::failures_untold, std::to_string(untold));
+    untold = 0;
+  }
+  if (++lines <= lines_most) return true;
+  ++untold;
+  return false;
+}
+
+void FailureLog::write(FailedRequest const& failed, std::string const& attempt, std::string const& why, Micros now) {
+  if (log_is_muted() || !affords(now)) return;
+  std::string detail = "id " + attempt + " " + failed_end_word(failed.end) + " " + kind_row(failed.kind).name +
+                       " route '" + failed.route + "' held " + in_ms(failed.held) + " ms left " + in_ms(failed.left) +
+                       " ms sends " + std::to_string(failed.sends) + " dials " + std::to_string(failed.dials);
+  if (!failed.worker.empty()) detail += " worker " + failed.worker + " reach " + reach_word(failed.reach);
+  if (!why.empty()) detail += " last: " + why;
+  log_event(Event::request_failed, detail);
+}
+
+}  // namespace pipit
--- /dev/null
+++ b/src/gate/relay/failure_log.h
@@ -0,0 +1,23 @@
+// The log's lines of requests that were not served: one each, and no more a second than a node can afford to write.
+#pragma once
+#include <cstdint>
+#include <string>
+
+#include "flow/dispatch/dispatcher.h"
+
+namespace pipit {
+
+class FailureLog {
+ public:
+  // 'attempt' is the id that the caller gave; 'why' is how its last attempt ended, empty when there was none.
+  void write(FailedRequest const& failed, std::string const& attempt, std::string const& why, Micros now);
+
+ private:
+  bool affords(Micros now);
+
+  Micros second = -1;  // when the present second began
+  std::uint64_t lines = 0;
+  std::uint64_t untold = 0;  // failures since the last line that were only counted
+};
+
+}  // namespace pipit
--- a/src/gate/relay/relay.cc
+++ b/src/gate/relay/relay.cc
@@ -6,6 +6,7 @@
 #include <cstdlib>
 
 #include "base/events.h"
+#include "base/invariants.h"
 #include "base/request_guards.h"
 #include "gate/net/clock.h"
 
@@ -74,11 +75,16 @@
 Relay::Relay(Dispatcher& dispatcher_, Dialect dialect_, std::string own_host, Callbacks callbacks_)
     : server({[this](Server::Call&& call) { on_call(std::move(call)); },
               [this](std::uint64_t id) {
-                if (callers.erase(id) == 0) return;
+                if (callers.count(id) == 0) return;
                 upstream.cut(id);
-                callbacks.gone(id);
+                if (std::optional<FailedRequest> const failed = callbacks.gone(id)) log_failure(*failed);
+                callers.erase(id);
               }}),
-      upstream({[this](std::uint64_t id) { dispatcher.left(id, now()); },
+      upstream({[this](std::uint64_t id) {
+                  std::map<std::uint64_t, Caller>::iterator const spot = callers.find(id);
+                  if (spot != callers.end()) ++spot->second.sent;
+                  dispatcher.left(id, now());
+                },
                 [this](std::uint64_t id, Head const& head, bool first) { return on_head(id, head, first); },
                 [this](std::uint64_t id, std::string_view bytes) { on_body(id, bytes); },
                 [this](std::uint64_t id) { on_done(id); },
@@ -131,7 +137,26 @@
   callbacks.request(id, std::move(query));
 }
 
+void Relay::log_failure(FailedRequest const& failed) {
+  std::map<std::uint64_t, Caller>::const_iterator const spot = callers.find(failed.request);
+  if (spot == callers.end()) return;
+  failure_log.write(failed, spot->second.attempt, spot->second.failure, now());
+}
+
+bool Relay::may_repeat(std::uint64_t id) const {
+  Route const* const route = dispatcher.route_of(id);
+  return route != nullptr && (route->repeatable || (route->streams && route->resumable));
+}
+
+// The worker of the present attempt says that it did not run it.
+void Relay::decline(std::uint64_t id, Caller& caller) {
+  ++caller.declined_count;
+  caller.failure = caller.elsewhere ? "another instance lives there" : "the worker did not run it";
+  callbacks.ended(id, AttemptEnd::declined, caller.elsewhere);
+}
+
 void Relay::act(DispatchOut& out) {
+  for (FailedRequest const& failed : out.failed) log_failure(failed);
   for (std::uint64_t const id : out.cuts) upstream.cut(id);
   for (std::uint64_t const id : out.passes) {
     std::map<std::uint64_t, Caller>::iterator const spot = callers.find(id);
@@ -153,7 +178,6 @@
 
 void Relay::deny(Denial const& denial) {
   ++kinds[kind_row(denial.kind).name];
-  callers.erase(denial.request);
   Ran const ran = denial.wait > 0 ? Ran::no : kind_row(denial.kind).ran;
   Answer const answer = answer_for(Fault{denial.kind, "", ""}, ran, denial.wait);
   Head head;
@@ -165,6 +189,16 @@
     g_ascii_formatd(text, sizeof text, "%.3f", static_cast<double>(denial.wait) / 1e6);
     head.fields.emplace_back("Retry-After", text);
   }
+  std::map<std::uint64_t, Caller>::const_iterator const spot = callers.find(denial.request);
+  if (spot != callers.end()) {
+    Caller const& caller = spot->second;
+    bool const honest = !promises(head.status) || denial.may_repeat || !caller.may_have_run();
+    check_invariant(honest, Invariant::true_refusal, [&] {
+      return caller.attempt + " gets " + std::to_string(head.status) + " after " + std::to_string(caller.sent) +
+             " sends, " + std::to_string(caller.declined_count) + " of them declined, the last to " + caller.instance;
+    });
+    callers.erase(spot);
+  }
   server.answer(denial.request, head, answer.body);
 }
 
@@ -173,12 +207,16 @@
   if (spot == callers.end()) return;
   Caller& caller = spot->second;
   Route const* const route = dispatcher.route_of(attempt.request);
+  check_invariant(may_repeat(attempt.request) || !caller.may_have_run(), Invariant::single_run, [&] {
+    return caller.attempt + " is sent to " + attempt.instance + " after " + caller.instance + ", " +
+           std::to_string(caller.sent) + " sends, " + std::to_string(caller.declined_count) + " of them declined";
+  });
   caller.instance = attempt.instance;
   caller.streams = route != nullptr && route->streams;
   caller.resumable = caller.streams && route->resumable;
   caller.resumed = attempt.resumed;
   caller.declined = caller.elsewhere = caller.failing = caller.unsaid = false;
-  caller.unbounded = false;
+  caller.unbounded = caller.spliced = false;
   caller.held.clear();
   caller.tail.clear();
   Head head = caller.head;
@@ -248,6 +286,12 @@
     // A worker that takes a stream up may begin a little before the place that it was told.
     if (caller.resumed && known && guard(RequestGuard::event_order) && number_of(name, number) && number <= last)
       continue;
+    std::uint64_t before = 0;
+    bool const first_of_resumed = caller.resumed && number_of(caller.last_event, before) && number_of(name, number);
+    check_invariant(!first_of_resumed || number > before || caller.spliced, Invariant::stream_order, [&] {
+      return caller.attempt + " gets event " + name + " of " + caller.instance + " after " + caller.last_event;
+    });
+    caller.spliced = true;
     if (!name.empty()) caller.last_event = name;
     if (name.empty() && event.find("data") != std::string::npos) dispatcher.unmarked(id);
     kept += event;
@@ -255,10 +299,21 @@
   return kept;
 }
 
+// What begins to go to a caller is the sealed answer to its own request.
+void Relay::check_own(Caller const& caller) const {
+  bool const named = caller.answer.get(dialect.attempt) == caller.attempt;
+  bool const sealed = dialect.seal.empty() || caller.answer.find(dialect.seal) != nullptr;
+  check_invariant(named && sealed && caller.answer.status < 300, Invariant::own_answer, [&] {
+    return caller.attempt + " gets status " + std::to_string(caller.answer.status) + " of '" +
+           caller.answer.get(dialect.attempt) + "' from " + caller.instance + (sealed ? "" : " without a seal");
+  });
+}
+
 void Relay::pass_on(std::uint64_t id, Caller& caller, std::string_view bytes) {
   if (bytes.empty()) return;
   if (!caller.begun) {
     caller.begun = true;
+    check_own(caller);
     std::int64_t const length = caller.resumable ? -1 : caller.answer.length;
     server.begin(id, caller.answer, length);
     dispatcher.began(id, now());
@@ -300,7 +355,7 @@
   std::map<std::uint64_t, Caller>::iterator const spot = callers.find(id);
   if (spot == callers.end()) return;
   Caller& caller = spot->second;
-  if (caller.declined) return callbacks.ended(id, AttemptEnd::declined, caller.elsewhere);
+  if (caller.declined) return decline(id, caller);
   if (caller.unsaid) return callbacks.ended(id, AttemptEnd::broke, false);
   if (caller.failing) return callbacks.ended(id, AttemptEnd::failed, false);
   if (stops_in_event(caller)) return callbacks.ended(id, AttemptEnd::broke, false);
@@ -309,8 +364,10 @@
     caller.held.clear();
     pass_on(id, caller, rest);
   }
-  if (!caller.begun)
+  if (!caller.begun) {
+    check_own(caller);
     server.begin(id, caller.answer, caller.resumable ? -1 : std::max<std::int64_t>(0, caller.answer.length));
+  }
   server.end(id);
   callers.erase(spot);
   callbacks.ended(id, AttemptEnd::whole, false);
@@ -319,10 +376,11 @@
 void Relay::on_ended(std::uint64_t id, Upstream::End end, std::string const& why) {
   std::map<std::uint64_t, Caller>::iterator const spot = callers.find(id);
   if (spot == callers.end()) return;
-  log_event(Event::attempt_failed, spot->second.instance + " " + why);
+  spot->second.failure = why;
+  log_event(Event::attempt_failed, spot->second.attempt + " at " + spot->second.instance + " " + why);
   if (end == Upstream::End::torn && !guard(RequestGuard::torn_visible)) return on_done(id);
   // What the worker said before it broke off holds: it did not run the request.
-  if (spot->second.declined) return callbacks.ended(id, AttemptEnd::declined, spot->second.elsewhere);
+  if (spot->second.declined) return decline(id, spot->second);
   callbacks.ended(id, end == Upstream::End::unreached ? AttemptEnd::unreached : AttemptEnd::broke, false);
 }
 
--- a/src/gate/relay/relay.h
+++ b/src/gate/relay/relay.h
@@ -2,11 +2,13 @@
 #pragma once
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/node.h"
 #include "gate/net/server.h"
 #include "gate/net/upstream.h"
+#include "gate/relay/failure_log.h"
 
 namespace pipit {
 
@@ -34,7 +36,7 @@
   struct Callbacks {
     std::function<void(std::uint64_t, Query)> request;
     std::function<void(std::uint64_t, AttemptEnd, bool elsewhere)> ended;
-    std::function<void(std::uint64_t)> gone;
+    std::function<std::optional<FailedRequest>(std::uint64_t)> gone;
   };
   Relay(Dispatcher& dispatcher_, Dialect dialect_, std::string own_host, Callbacks callbacks_);
 
@@ -67,6 +69,12 @@
     std::string tail;        // the last bytes of a stream without bounds
     std::string held;        // a failing answer's body, or the beginning of an event that is not whole
     std::string last_event;  // id of the last event that was passed on
+    bool spliced = false;    // an event of the present attempt was passed on
+    std::string failure;     // why its last attempt ended
+    // Attempts of which a byte may have left, and those of them that their workers say they did not run.
+    int sent = 0;
+    int declined_count = 0;
+    bool may_have_run() const { return sent > declined_count; }
   };
   void on_call(Server::Call&& call);
   void start(Attempt const& attempt);
@@ -78,12 +86,17 @@
   void pass_on(std::uint64_t id, Caller& caller, std::string_view bytes);
   std::string whole_events(std::uint64_t id, Caller& caller);
   void deny(Denial const& denial);
+  bool may_repeat(std::uint64_t id) const;
+  void decline(std::uint64_t id, Caller& caller);
+  void check_own(Caller const& caller) const;
+  void log_failure(FailedRequest const& failed);
 
   Dispatcher& dispatcher;
   Dialect const dialect;
   std::vector<std::string> const end_to_end;
   Callbacks callbacks;
   std::map<std::uint64_t, Caller> callers;
+  FailureLog failure_log;
 };
 
 }  // namespace pipit
--- a/src/gate/station/station.cc
+++ b/src/gate/station/station.cc
@@ -6,7 +6,6 @@
 #include <iostream>
 
 #include "base/events.h"
-#include "base/json_writer.h"
 #include "base/random_seed.h"
 
 namespace pipit {
@@ -88,7 +87,7 @@
     node->attempt_ended(id, end, elsewhere, now(), out);
     act(out);
   };
-  re.gone = [this](std::uint64_t id) { node->dispatcher.hung_up(id, now()); };
+  re.gone = [this](std::uint64_t id) { return node->dispatcher.hung_up(id, now()); };
   relay = std::make_unique<Relay>(node->dispatcher, plan.dialect, plan.own_host, std::move(re));
   control_server = std::make_unique<Server>(
       Server::Callbacks{[this](Server::Call&& call) { on_call(std::move(call)); }, [](std::uint64_t) {}});
@@ -167,6 +166,11 @@
   control_server->answer(call, head, body);
 }
 
+void Station::note_order(std::string const& call, unsigned status, std::string const& why) {
+  ++order_answers[std::to_string(status)];
+  log_event(Event::order_answered, call + " " + std::to_string(status) + (why.empty() ? "" : " " + why));
+}
+
 void Station::on_ready(Server::Call&& call) {
   bool const path = call.head.target == plan.ready_path;
   bool const yes = node->ready() && stop_from < 0;
@@ -185,94 +189,6 @@
   answer(id, 404, answer_for(Fault{Kind::not_found, "", ""}).body);
 }
 
-std::string Station::status() const {
-  JsonWriter json;
-  json.begin_object().key("name").text(plan.node.name).key("role").text("passage").key("zone").text(plan.node.zone);
-  json.key("keeper")
-      .boolean(plan.node.keeper)
-      .key("ready")
-      .boolean(node->ready())
-      .key("draining")
-      .boolean(stop_from >= 0);
-  json.key("serial").number(static_cast<std::int64_t>(node->learner.serial()));
-  json.key("label").number(static_cast<std::int64_t>(label()));
-  json.key("emptied").begin_list().end_list().key("keepers").begin_list();
-  for (wire::KeeperT const& keeper : node->learner.membership().keepers) json.text(keeper.name);
-  json.end_list()
-      .key("epoch")
-      .number(static_cast<std::int64_t>(node->learner.membership().epoch))
-      .key("peers")
-      .begin_list();
-  for (std::pair<std::string const, Peer> const& item : node->mesh.members.peers) {
-    Peer const& peer = item.second;
-    json.begin_object().key("name").text(item.first).key("state").text(state_word(peer.state()));
-    json.key("wire").boolean(peer.wire != 0).key("role").text("passage").key("zone").text(peer.member.zone);
-    json.key("http").text(peer.member.http).key("keeper").boolean(peer.member.keeper);
-    json.key("serial")
-        .number(static_cast<std::int64_t>(peer.member.serial))
-        .key("ready")
-        .boolean(peer.member.ready)
-        .end_object();
-  }
-  json.end_list().key("workers").begin_list();
-  for (std::pair<std::string const, Instance> const& item : node->registry.all) {
-    Instance const& at = item.second;
-    static char const* const words[] = {"serving", "leaving", "gone"};
-    json.begin_object().key("id").text(at.id).key("zone").text(at.zone).key("pool").text(at.pool);
-    json.key("standing").text(words[static_cast<std::size_t>(at.standing)]).key("owner").text(at.owner);
-    json.key("doubted")
-        .boolean(at.doubted >= 0)
-        .key("slots")
-        .number(at.slots)
-        .key("demand")
-        .number(at.load(now()))
-        .end_object();
-  }
-  json.end_list().key("under_way").number(static_cast<std::int64_t>(node->dispatcher.under_way())).end_object();
-  return json.take();
-}
-
-std::string Station::metrics() const {
-  DispatchTally const& t = node->dispatcher.tally;
-  struct Row {
-    char const* name;
-    char const* type;
-    std::uint64_t value;
-  };
-  Row const rows[] = {
-      {"pipit_asked_total", "counter", t.asked},
-      {"pipit_done_total", "counter", t.served},
-      {"pipit_refused_total", "counter", t.refused},
-      {"pipit_failed_total", "counter", t.failed},
-      {"pipit_passed_total", "counter", t.passed},
-      {"pipit_streams_broken_total", "counter", t.broken},
-      {"pipit_hangups_total", "counter", t.hangups},
-      {"pipit_first_sends_total", "counter", t.sends - t.resends},
-      {"pipit_resends_total", "counter", t.resends},
-      {"pipit_resumes_total", "counter", t.resumes},
-      {"pipit_silences_total", "counter", t.silences},
-      {"pipit_far_sends_total", "counter", t.far_sends},
-      {"pipit_connections_dialled_total", "counter", relay->upstream.dialled},
-      {"pipit_connections_reused_total", "counter", relay->upstream.reused},
-      {"pipit_frames_in_total", "counter", node->mesh.frames_in},
-      {"pipit_deltas_dropped_total", "counter", node->index_sync.dropped},
-      {"pipit_tree_pulls_total", "counter", node->index_sync.pulls},
-      {"pipit_clock_jumps_total", "counter", node->jumps},
-      {"pipit_serial", "gauge", node->learner.serial()},
-      {"pipit_ready", "gauge", node->ready() ? 1u : 0u},
-      {"pipit_under_way", "gauge", node->dispatcher.under_way()},
-      {"pipit_wires", "gauge", node->mesh.wires_open()},
-  };
-  std::string out;
-  for (Row const& row : rows)
-    out +=
-        std::string("# TYPE ") + row.name + " " + row.type + "\n" + row.name + " " + std::to_string(row.value) + "\n";
-  out += "# TYPE pipit_answers_total counter\n";
-  for (std::pair<std::string const, std::uint64_t> const& item : relay->kinds)
-    out += "pipit_answers_total{kind=\"" + item.first + "\"} " + std::to_string(item.second) + "\n";
-  return out;
-}
-
 void Station::stop() {
   if (stop_from >= 0) return;
   stop_from = now();
--- a/src/gate/station/station.h
+++ b/src/gate/station/station.h
@@ -59,6 +59,8 @@
   void stop();
   void answer(std::uint64_t call, unsigned status, std::string const& body,
               std::vector<std::pair<std::string, std::string>> const& fields = {});
+  // Counts and logs how an operator's call was answered; 'call' names it.
+  void note_order(std::string const& call, unsigned status, std::string const& why);
 
  private:
   void act(NodeOut& out);
@@ -81,6 +83,7 @@
   Look look;
   std::map<std::uint64_t, Done> asked;
   std::uint64_t next_ask = 0;
+  std::map<std::string, std::uint64_t> order_answers;  // of operators, by status
   std::shared_ptr<Description const> limits_of;
   Micros next_sweep = 0;
   Micros next_look = 0;
--- a/src/runtime/status.cc
+++ b/src/runtime/status.cc
@@ -1,5 +1,6 @@
 // What a node tells of itself: its status and its metrics (§9).
 #include "base/json_writer.h"
+#include "base/metrics_text.h"
 #include "runtime/host.h"
 
 namespace pipit {
@@ -49,56 +50,47 @@
   return json.take();
 }
 
+namespace {
+std::map<std::string, std::uint64_t> by_frame(std::map<wire::Body, std::uint64_t> const& bytes) {
+  std::map<std::string, std::uint64_t> out;
+  for (std::pair<wire::Body const, std::uint64_t> const& item : bytes)
+    out[wire::EnumNameBody(item.first)] = item.second;
+  return out;
+}
+}  // namespace
+
 std::string Host::metrics() const {
-  std::string out;
   Tally const& t = node->desk.tally;
-  struct Row {
-    char const* name;
-    char const* type;
-    std::uint64_t value;
-  };
-  Row const rows[] = {
-      {"pipit_asked_total", "counter", t.asked},
-      {"pipit_first_sends_total", "counter", t.first_sends},
-      {"pipit_resends_total", "counter", t.resends},
-      {"pipit_done_total", "counter", t.done},
-      {"pipit_refused_total", "counter", t.refused},
-      {"pipit_streams_broken_total", "counter", t.broken},
-      {"pipit_hangups_total", "counter", t.hangups},
-      {"pipit_expired_total", "counter", t.late},
-      {"pipit_blocks_asked_total", "counter", t.blocks_asked},
-      {"pipit_blocks_hit_total", "counter", t.blocks_hit},
-      {"pipit_far_sends_total", "counter", t.far_sends},
-      {"pipit_wire_bytes_total", "counter", wire_bytes},
-      {"pipit_frames_in_total", "counter", node->mesh.frames_in},
-      {"pipit_deltas_dropped_total", "counter", node->index_sync.dropped},
-      {"pipit_tree_pulls_total", "counter", node->index_sync.pulls},
-      {"pipit_tree_stalls_total", "counter", node->index_sync.stalls},
-      {"pipit_clock_jumps_total", "counter", node->jumps},
-      {"pipit_longest_turn_us", "gauge", longest_turn},
-      {"pipit_serial", "gauge", node->learner.serial()},
-      {"pipit_ready", "gauge", node->ready() ? 1u : 0u},
-      {"pipit_backlog", "gauge", node->desk.waiting()},
-      {"pipit_under_way", "gauge", node->under_way()},
-      {"pipit_wires", "gauge", node->mesh.wires_open()},
-  };
-  for (Row const& row : rows)
-    out +=
-        std::string("# TYPE ") + row.name + " " + row.type + "\n" + row.name + " " + std::to_string(row.value) + "\n";
-  out += "# TYPE pipit_mesh_bytes_total counter\n";
-  for (std::pair<std::string const, std::uint64_t> const& item : mesh_to)
-    out += "pipit_mesh_bytes_total{zone=\"" + item.first + "\"} " + std::to_string(item.second) + "\n";
-  out += "# TYPE pipit_frame_bytes_total counter\n";
-  for (std::pair<wire::Body const, std::uint64_t> const& item : frame_bytes)
-    out += std::string("pipit_frame_bytes_total{frame=\"") + wire::EnumNameBody(item.first) + "\"} " +
-           std::to_string(item.second) + "\n";
-  out += "# TYPE pipit_leg_bytes_total counter\n";
-  for (std::pair<std::string const, std::uint64_t> const& item : legs_with)
-    out += "pipit_leg_bytes_total{zone=\"" + item.first + "\"} " + std::to_string(item.second) + "\n";
-  out += "# TYPE pipit_answers_total counter\n";
-  for (std::pair<std::string const, std::uint64_t> const& item : kinds)
-    out += "pipit_answers_total{kind=\"" + item.first + "\"} " + std::to_string(item.second) + "\n";
-  return out;
+  MetricsText text;
+  text.counter("pipit_asked_total", t.asked);
+  text.counter("pipit_first_sends_total", t.first_sends);
+  text.counter("pipit_resends_total", t.resends);
+  text.counter("pipit_done_total", t.done);
+  text.counter("pipit_refused_total", t.refused);
+  text.counter("pipit_streams_broken_total", t.broken);
+  text.counter("pipit_hangups_total", t.hangups);
+  text.counter("pipit_expired_total", t.late);
+  text.counter("pipit_blocks_asked_total", t.blocks_asked);
+  text.counter("pipit_blocks_hit_total", t.blocks_hit);
+  text.counter("pipit_far_sends_total", t.far_sends);
+  text.counter("pipit_wire_bytes_total", wire_bytes);
+  text.counter("pipit_frames_in_total", node->mesh.frames_in);
+  text.counter("pipit_deltas_dropped_total", node->index_sync.dropped);
+  text.counter("pipit_tree_pulls_total", node->index_sync.pulls);
+  text.counter("pipit_tree_stalls_total", node->index_sync.stalls);
+  text.counter("pipit_clock_jumps_total", node->jumps);
+  text.gauge("pipit_longest_turn_us", static_cast<std::uint64_t>(longest_turn));
+  text.gauge("pipit_serial", node->learner.serial());
+  text.gauge("pipit_ready", node->ready() ? 1u : 0u);
+  text.gauge("pipit_backlog", node->desk.waiting());
+  text.gauge("pipit_under_way", node->under_way());
+  text.gauge("pipit_wires", node->mesh.wires_open());
+  text.counters("pipit_mesh_bytes_total", "zone", mesh_to);
+  text.counters("pipit_frame_bytes_total", "frame", by_frame(frame_bytes));
+  text.counters("pipit_leg_bytes_total", "zone", legs_with);
+  text.counters("pipit_answers_total", "kind", kinds);
+  text.invariants();
+  return text.take();
 }
 
 }  // namespace pipit
--- a/tests/dispatcher.cc
+++ b/tests/dispatcher.cc
@@ -940,6 +940,19 @@
   EXPECT_TRUE(out.cuts.empty());
 }
 
+// Its caller waits no longer, and a worker would be handed time that nobody has.
+TEST_F(Desks, what_waited_past_its_time_while_the_node_stood_still_goes_to_no_worker) {
+  ASSERT_EQ(place(1, "once"), "") << "there is no worker yet";
+  dispatcher.tick(now += millis(50), out);
+  ASSERT_TRUE(out.empty());
+  worker("w");
+  dispatcher.tick(now += seconds(4), out);
+  EXPECT_TRUE(out.starts.empty()) << "its time was over a second before";
+  ASSERT_EQ(out.denials.size(), 1u);
+  EXPECT_GT(out.denials[0].wait, 0) << "it has not run";
+  EXPECT_TRUE(free_of_work());
+}
+
 TEST(Walks, end_every_request_once_and_run_it_at_most_once_where_it_must) {
   DispatchTally sum;
   for (std::uint64_t seed = 1; seed <= 8 && !HasFatalFailure(); ++seed) walk(seed, sum);
--- a/tests/relay.cc
+++ b/tests/relay.cc
@@ -41,7 +41,7 @@
                  dispatcher.ended(id, end, elsewhere, g_get_monotonic_time(), out);
                  relay.act(out);
                },
-               [this](std::uint64_t id) { dispatcher.hung_up(id, g_get_monotonic_time()); }}) {
+               [this](std::uint64_t id) { return dispatcher.hung_up(id, g_get_monotonic_time()); }}) {
     Result<std::shared_ptr<Description const>> const rules =
         read_description("{\"format\":1,\"lanes\":[],\"pools\":[{\"name\":\"p\",\"model\":\"m\"}],\"routes\":[" +
                          route_text("once", "") + "," + route_text("safe", ",\"repeatable\":true") + "," +
