--- /dev/null
+++ b/proof/soak/main.cc
@@ -0,0 +1,178 @@
+// soak: many experiments of `stage` with real processes and real sockets, each with a schedule of overlapping troubles
+// drawn from its seed. What breaks a promise or an invariant keeps its seed, its schedule and all logs (docs/soak.md).
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/program_options.hpp>
+#include <cstdint>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <vector>
+
+#include "proof/stage/schedule.h"
+
+namespace pipit::stage {
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr int net_first = 2;
+constexpr int net_last = 254;
+constexpr int passed_status = 0;
+
+struct SoakPlan {
+  std::uint64_t from = 1;
+  std::uint64_t seeds = 20;
+  unsigned jobs = 2;
+  double seconds = 28;
+  double calm = 14;
+  int net = 120;
+  std::string shape = "soak";
+  std::string folder;
+  std::string stage;
+  std::string troubles;  // instead of drawn ones
+};
+
+struct Run {
+  std::uint64_t seed = 0;
+  std::string folder;
+  std::string schedule;
+};
+
+std::string folder_of(std::string const& program) { return std::filesystem::path(program).parent_path().string(); }
+
+std::string own_path() {
+  std::error_code wrong;
+  return std::filesystem::read_symlink("/proc/self/exe", wrong).string();
+}
+
+Run begin(SoakPlan const& plan, std::uint64_t seed, unsigned job, pid_t& made) {
+  Run run;
+  run.seed = seed;
+  run.folder = plan.folder + "/seed-" + std::to_string(seed);
+  run.schedule = plan.troubles.empty() ? soak_schedule(seed, plan.seconds, plan.calm) : plan.troubles;
+  std::error_code wrong;
+  std::filesystem::remove_all(run.folder, wrong);
+  std::filesystem::create_directories(run.folder, wrong);
+  std::ofstream(run.folder + "/schedule") << "--seed " << seed << " --troubles \"" << run.schedule << "\"\n";
+  std::vector<std::string> const words = {plan.stage,   "--relay",
+                                          "--shape",    plan.shape,
+                                          "--seconds",  std::to_string(plan.seconds),
+                                          "--seed",     std::to_string(seed),
+                                          "--net",      std::to_string(plan.net + static_cast<int>(job)),
+                                          "--folder",   run.folder + "/nodes",
+                                          "--troubles", run.schedule};
+  std::string const report = run.folder + "/report";
+  pid_t const parent = ::getpid();
+  made = ::fork();
+  if (made != 0) return run;
+  ::prctl(PR_SET_PDEATHSIG, SIGTERM);
+  if (::getppid() != parent) ::_exit(1);
+  int const fd = ::open(report.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+  ::dup2(fd, 1);
+  ::dup2(fd, 2);
+  std::vector<char*> arguments;
+  for (std::string const& word : words) arguments.push_back(const_cast<char*>(word.c_str()));
+  arguments.push_back(nullptr);
+  ::execv(arguments[0], arguments.data());
+  ::_exit(127);
+}
+
+// Prints what the report says of broken promises.
+void tell(Run const& run, int status) {
+  std::printf("seed %llu failed with %d: %s\n", static_cast<unsigned long long>(run.seed), status,
+              run.schedule.c_str());
+  std::ifstream file(run.folder + "/report");
+  std::string line;
+  int told = 0;
+  while (std::getline(file, line))
+    if (line.find("broken") != std::string::npos || line.find(": ") != std::string::npos)
+      if (++told <= 12) std::printf("  %s\n", line.substr(0, 400).c_str());
+  std::printf("  kept in %s\n", run.folder.c_str());
+}
+
+int soak(SoakPlan const& plan) {
+  std::map<pid_t, std::pair<unsigned, Run>> running;
+  std::vector<bool> busy(plan.jobs, false);
+  std::uint64_t next = plan.from;
+  std::uint64_t passed = 0;
+  std::vector<std::uint64_t> failed;
+  while (next < plan.from + plan.seeds || !running.empty()) {
+    for (unsigned job = 0; job < plan.jobs && next < plan.from + plan.seeds; ++job) {
+      if (busy[job]) continue;
+      pid_t made = 0;
+      Run run = begin(plan, next++, job, made);
+      busy[job] = true;
+      running.emplace(made, std::make_pair(job, std::move(run)));
+    }
+    int status = 0;
+    pid_t const ended = ::wait(&status);
+    std::map<pid_t, std::pair<unsigned, Run>>::iterator const spot = running.find(ended);
+    if (spot == running.end()) continue;
+    busy[spot->second.first] = false;
+    int const code = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    if (code == passed_status) {
+      ++passed;
+      std::error_code wrong;
+      std::filesystem::remove_all(spot->second.second.folder, wrong);
+    } else {
+      failed.push_back(spot->second.second.seed);
+      tell(spot->second.second, code);
+    }
+    std::fflush(stdout);
+    running.erase(spot);
+  }
+  std::printf("soak of %s, seeds %llu to %llu: %llu passed, %zu failed", plan.shape.c_str(),
+              static_cast<unsigned long long>(plan.from), static_cast<unsigned long long>(plan.from + plan.seeds - 1),
+              static_cast<unsigned long long>(passed), failed.size());
+  for (std::uint64_t const seed : failed) std::printf(" %llu", static_cast<unsigned long long>(seed));
+  std::printf("\n");
+  return failed.empty() ? 0 : 1;
+}
+
+int run(int count, char** words) {
+  SoakPlan plan;
+  options::options_description flags("soak: experiments with overlapping troubles, one for each seed");
+  flags.add_options()("help", "this text")("from", options::value(&plan.from), "the first seed")(
+      "seeds", options::value(&plan.seeds), "how many")("jobs", options::value(&plan.jobs), "experiments at once")(
+      "seconds", options::value(&plan.seconds), "of traffic in each")("calm", options::value(&plan.calm),
+                                                                      "seconds without new troubles at the end")(
+      "net", options::value(&plan.net), "addresses are 127.NET.x.y, one NET for each job, from this on")(
+      "shape", options::value(&plan.shape))("folder", options::value(&plan.folder),
+                                            "for logs; what failed is kept there")(
+      "stage", options::value(&plan.stage), "the program; beside this one if not given")(
+      "troubles", options::value(&plan.troubles), "the same for every seed, instead of drawn ones")(
+      "show", "prints the schedules alone");
+  options::variables_map given;
+  try {
+    options::store(options::command_line_parser(count, words).options(flags).positional({}).run(), given);
+    options::notify(given);
+  } catch (options::error const& error) {
+    return std::fprintf(stderr, "soak: %s\n", error.what()), 2;
+  }
+  if (given.count("help") > 0) {
+    std::cout << flags;
+    return 0;
+  }
+  if (plan.jobs < 1 || plan.seeds < 1 || plan.net < net_first || plan.net + static_cast<int>(plan.jobs) > net_last)
+    return std::fprintf(stderr, "soak: --jobs, --seeds or --net is out of range\n"), 2;
+  if (given.count("show") > 0) {
+    for (std::uint64_t seed = plan.from; seed < plan.from + plan.seeds; ++seed)
+      std::cout << seed << ": " << soak_schedule(seed, plan.seconds, plan.calm) << "\n";
+    return 0;
+  }
+  if (plan.stage.empty()) plan.stage = folder_of(own_path()) + "/stage";
+  if (plan.folder.empty()) plan.folder = folder_of(own_path()) + "/soak-runs";
+  return soak(plan);
+}
+
+}  // namespace
+}  // namespace pipit::stage
+
+int main(int count, char** words) { return pipit::stage::run(count, words); }
--- a/proof/stage/callers.cc
+++ b/proof/stage/callers.cc
@@ -13,6 +13,8 @@
 constexpr Micros tick_span = millis(10);
 constexpr Micros window = seconds(2);
 constexpr std::size_t kept_most = 6;  // connections of one client
+constexpr int kept_cut_most = 3;
+constexpr std::size_t failed_most = 200;  // that are looked for in the logs
 
 std::string kind_of(std::string const& body) {
   std::size_t const at = body.find("\"kind\":\"");
@@ -293,6 +295,11 @@
   RequestClass const& item = shape.classes[request.of];
   Micros const at = now();
   std::shared_ptr<Line> const line = request.line;
+  bool const served = how == Line::End::whole && request.status == 200;
+  bool const by_node = how == Line::End::whole || (how == Line::End::cut && line->any_byte());
+  if (!served && by_node && nodes.in_touch(*request.node, request.sent) && nodes.in_touch(*request.node, at) &&
+      failed.size() < failed_most)
+    failed.push_back({request.attempt->id, request.node->name});
   if (how == Line::End::whole && request.status == 200) {
     judge.whole(*request.attempt, request.reading, line->field("x-server-seal"));
     if (request.client->keeps && line->reusable() && request.client->free.size() < kept_most)
@@ -314,6 +321,10 @@
       judge.broken(Promise::lost, request.attempt->id + " by " + request.node->name + ", " + what + " " +
                                       std::to_string((at - request.node->told_to_end) / 1000) +
                                       " ms after it was told to end");
+    bool const sound = request.attempt->arrivals > 0 && !request.attempt->worker_broke;
+    bool const in_touch = nodes.in_touch(*request.node, request.sent) && nodes.in_touch(*request.node, at);
+    if (how == Line::End::cut && line->kept() && !line->any_byte() && sound && in_touch && ++kept_cut > kept_cut_most)
+      judge.broken(Promise::kept_lost, request.attempt->id + " by " + request.node->name);
     // Nothing of a request goes out before the connection is up.
     if (how == Line::End::unreached || item.resumable)
       return retry(request, millis(20 + static_cast<Micros>(jitter.below(80))));
@@ -371,16 +382,31 @@
     ++tally.gave_up;
     ++tally.answers[at >= request->due ? "no answer by the deadline" : "silence"];
     if (request->line) request->line->close();
+    if (request->attempt != nullptr && !request->waiting) request->attempt->left_at = at;
     finish(*request, false);
   }
   for (Request* const request : unread) {
     ++tally.answers["not read"];
     request->line->close();
+    request->attempt->left_at = at;
     retry(*request, 0);
   }
 }
 
+std::optional<double> Callers::served_since(Micros span) const {
+  double all = 0;
+  double served = 0;
+  for (std::pair<Micros, bool> const& item : ends) {
+    if (item.first < began + span) continue;
+    all += 1;
+    served += item.second ? 1 : 0;
+  }
+  if (all == 0) return std::nullopt;
+  return served / all;
+}
+
 void Callers::finish(Request& request, bool served) {
+  ends.emplace_back(request.came, served);
   RequestClass const& item = shape.classes[request.of];
   ClassTally& own = tally.classes[request.of];
   double const owed = item.worth * request.size;
--- a/proof/stage/callers.h
+++ b/proof/stage/callers.h
@@ -4,6 +4,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,7 +50,15 @@
   void stop() { stopped = true; }
   bool idle() const { return requests.empty(); }
   void perform(Trouble const& trouble);
+  // The share of the requests that came so long after the beginning or later, and were served; nothing where none came.
+  std::optional<double> served_since(Micros span) const;
   CallersTally tally;
+  // Attempts that failed at nodes in touch, whose logs must explain them.
+  struct Failed {
+    std::string attempt;
+    std::string node;
+  };
+  std::vector<Failed> failed;
 
  private:
   struct Client;
@@ -82,7 +91,9 @@
   RandomSource jitter;  // of what depends on how things went
   double const scale;
   bool stopped = false;
+  int kept_cut = 0;  // kept connections that ended without an answer, at nodes in touch
   Micros began = 0;
+  std::vector<std::pair<Micros, bool>> ends;  // when a request came, and whether it was served
   Micros next_tick = 0;
   std::uint64_t last = 0;
   std::map<std::string, std::vector<std::unique_ptr<Client>>> clients;  // by zone
--- /dev/null
+++ b/proof/stage/fault_relay.h
@@ -0,0 +1,107 @@
+// A relay on loopback between machines of an experiment: it carries bytes between them and can cut a link (both ways or
+// one way), delay it, reset its connections, or swallow answers. What the kernel does between two processes of one
+// machine never fails; this does.
+//
+// Every machine has a public address, at which the relay listens, and a private one, at which its process listens. A
+// machine is known by its public IP number.
+#pragma once
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/micros.h"
+#include "base/random.h"
+#include "gate/net/link.h"
+
+namespace pipit::stage {
+
+// What happens to bytes that go from one machine to another.
+struct LinkFault {
+  enum class Kind : std::uint8_t {
+    cut,      // they wait until the fault ends; connections come up only then
+    delay,    // each piece comes later by 'span'
+    swallow,  // connections that are opened meanwhile lose what is answered, by 'chance'
+  };
+  Kind kind = Kind::cut;
+  std::function<bool(std::string const& from, std::string const& to)> concerns;
+  Micros until = 0;
+  Micros span = 0;
+  double chance = 1;
+  unsigned port = 0;  // of the doors that it concerns; 0 for all
+};
+
+class FaultRelay {
+ public:
+  // The public IP number of a machine, given any of its numbers.
+  using Identify = std::function<std::string(std::string const& ip)>;
+  FaultRelay(std::uint64_t seed, Identify identify_);
+  ~FaultRelay();
+
+  // Connections to the public address go on to the private one. A door that is shut refuses, as a machine does whose
+  // process has ended.
+  void open(std::string const& public_address, std::string const& private_address);
+  void shut(std::string const& public_ip);
+
+  void begin(LinkFault fault);
+  // Resets connections between machines that 'concerns' names, each by chance.
+  void reset(std::function<bool(std::string const& from, std::string const& to)> const& concerns, double chance);
+
+  std::uint64_t carried = 0;    // bytes
+  std::uint64_t swallowed = 0;  // connections whose answers were lost
+  std::uint64_t resets = 0;
+
+ private:
+  struct Piece {
+    Micros due = 0;
+    std::string bytes;
+    bool end = false;    // the connection ends here
+    bool reset = false;  // and not in good order
+  };
+  struct Side {
+    std::shared_ptr<Link> link;
+    std::deque<Piece> queue;  // what this side is still to be given
+  };
+  // One connection: from the machine that dialled to the one that listens.
+  struct Pair {
+    std::string from;
+    std::string to;
+    unsigned port = 0;
+    std::string target;
+    std::string source;  // IP number that the onward connection comes from
+    Side near;           // towards the machine that dialled
+    Side far;
+    bool dialled = false;
+    bool lost = false;  // its answers are swallowed
+  };
+  struct OpenDoor {
+    Door door;
+    std::string target;
+    std::string ip;
+    unsigned port = 0;
+  };
+  void take(OpenDoor const& door, std::shared_ptr<Link> link);
+  void listen(std::shared_ptr<Pair> const& pair, bool near);
+  void arrived(std::shared_ptr<Pair> const& pair, bool near, Piece piece);
+  // Whether bytes may go now, and how much later they come.
+  bool cut(std::string const& from, std::string const& to, unsigned port) const;
+  Micros delay(std::string const& from, std::string const& to, unsigned port) const;
+  void dial(std::shared_ptr<Pair> const& pair);
+  void pump(std::shared_ptr<Pair> const& pair);
+  bool give(std::shared_ptr<Pair> const& pair, Side& side, std::string const& from, std::string const& to);
+  void drop(std::shared_ptr<Pair> const& pair);
+  void turn();
+
+  RandomSource random;
+  Identify const identify;
+  std::map<std::string, std::unique_ptr<OpenDoor>> doors;  // by public address
+  std::set<std::shared_ptr<Pair>> pairs;
+  std::list<LinkFault> faults;
+  std::shared_ptr<bool> const alive = std::make_shared<bool>(true);
+};
+
+}  // namespace pipit::stage
--- a/proof/stage/judge.h
+++ b/proof/stage/judge.h
@@ -29,6 +29,12 @@
   X(config_refused, "a configuration that was refused, or lost its race, is in force") \
   X(config_lost, "what was read back is not what was acknowledged")                    \
   X(config_unacknowledged, "a proper change was not acknowledged in a calm time")      \
+  X(read_older, "a node answered a reading with what was replaced long before")        \
+  X(gone, "requests of callers that had left reached workers")                         \
+  X(kept_lost, "kept connections were closed without an answer to what was passed on") \
+  X(invariant, "a node says that one of its invariants does not hold")                 \
+  X(unexplained, "a failed request is not explained by its node's log")                \
+  X(unrecovered, "too little is served long after the last trouble")                   \
   X(ended, "a node ended by itself")                                                   \
   X(unserved, "nothing was served")
 
@@ -60,6 +66,7 @@
   std::set<std::uint64_t> seals;  // of its runs
   bool refused = false;
   bool worker_broke = false;  // a worker that had it ended, or broke its answer off
+  Micros left_at = -1;        // when its caller left without an answer
 };
 
 // What a caller reads of one answer, event by event.
--- a/proof/stage/main.cc
+++ b/proof/stage/main.cc
@@ -38,6 +38,7 @@
   put("seconds", options::value(&plan.seconds), "of traffic, 1 to 600");
   put("rate-scale", options::value(&plan.rate_scale), "times the shape's own rate, above 0 to 10");
   put("troubles", options::value(&plan.troubles_text), "KIND@SECONDS:KEY=VALUE,..; ...");
+  put("relay", "machines reach each other through a relay that can cut, delay, reset and swallow");
   put("seed", options::value(&plan.seed), "of all chance but that of the processes");
   put("net", options::value(&plan.net), "addresses are 127.NET.x.y, 2 to 254");
   put("folder", options::value(&plan.folder), "for settings, logs and disks; emptied at first");
@@ -73,6 +74,10 @@
   Result<std::vector<Trouble>> const troubles = parse_troubles(plan.troubles_text);
   if (!troubles) return refuse("--troubles: " + troubles.error().why);
   plan.troubles = troubles.value();
+  plan.relayed = given.count("relay") > 0;
+  for (Trouble const& trouble : plan.troubles)
+    if (needs_relay(trouble.kind) && !plan.relayed)
+      return refuse(std::string("--troubles: '") + trouble_name(trouble.kind) + "' needs --relay");
   if (plan.program.empty()) plan.program = own_folder() + "/lodge";
   if (::access(plan.program.c_str(), X_OK) != 0) return refuse("--lodge: '" + plan.program + "' cannot be run");
   if (plan.folder.empty()) plan.folder = own_folder() + "/stage-" + std::to_string(plan.net);
--- a/proof/stage/nodes.cc
+++ b/proof/stage/nodes.cc
@@ -30,29 +30,44 @@
 constexpr Micros grace = seconds(8);
 constexpr Micros restart_delay = millis(300);
 constexpr Micros heed_most = seconds(2);  // for how long a node that is told to end may still say that it is ready
-constexpr unsigned mesh_port = 7300;
+constexpr unsigned mesh_port_last = 7315;
+
+std::string at_port(std::string const& ip, unsigned port) { return ip + ":" + std::to_string(port); }
 }  // namespace
 
 Nodes::Nodes(NodesPlan plan_, Shape const& shape_, Judge& judge_)
     : plan(std::move(plan_)), shape(shape_), judge(judge_) {
-  int n = 0;
   int seeds = 0;
   for (bool const core : {true, false})
     for (Zone const& zone : shape.zones)
-      for (int i = 0; i < (core ? zone.core_nodes : zone.plain_nodes); ++i) {
-        std::unique_ptr<Node> node = std::make_unique<Node>();
-        node->name = "edge-" + zone.name + "-" + std::to_string(++n);
-        node->zone = zone.name;
-        node->ip = "127." + std::to_string(plan.net) + ".1." + std::to_string(n);
-        node->core = core;
-        node->seed = seeds < 3;
-        ++seeds;
-        zone_of[node->ip] = zone.name;
-        all.push_back(std::move(node));
-      }
+      for (int i = 0; i < (core ? zone.core_nodes : zone.plain_nodes); ++i) add(zone.name, core, seeds++ < 3);
   look_fd = ::socket(AF_NETLINK, SOCK_DGRAM | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
 }
 
+Node& Nodes::add(std::string const& zone, bool core, bool seed) {
+  std::unique_ptr<Node> node = std::make_unique<Node>();
+  std::string const number = std::to_string(++last_number);
+  std::string const net = "127." + std::to_string(plan.net);
+  node->name = "edge-" + zone + "-" + number;
+  node->zone = zone;
+  node->ip = net + ".1." + number;
+  node->private_ip = plan.relay != nullptr ? net + ".121." + number : node->ip;
+  node->disk = plan.folder + "/" + node->name + "/data";
+  node->log = plan.folder + "/" + node->name + "/log";
+  node->core = core;
+  node->seed = seed;
+  zone_of[node->ip] = zone;
+  public_of[node->private_ip] = node->ip;
+  all.push_back(std::move(node));
+  return *all.back();
+}
+
+std::string Nodes::public_address(std::string const& address) const {
+  std::size_t const colon = std::min(address.find(':'), address.size());
+  std::map<std::string, std::string>::const_iterator const spot = public_of.find(address.substr(0, colon));
+  return spot == public_of.end() ? address : spot->second + address.substr(colon);
+}
+
 Nodes::~Nodes() {
   for (std::unique_ptr<Node> const& node : all)
     if (node->pid > 0) {
@@ -67,14 +82,17 @@
   file << "node_name=" << node.name << "\nrole=lodge\nmachine_class=edge\nserves=edge,control\n"
        << "ip_address=" << node.ip << "\nzone=" << node.zone << "\nregion=here\n";
   for (Zone const& zone : shape.zones) file << "zones." << zone.name << "=here\n";
-  file << "listen_addresses.front=" << node.front() << "\nlisten_addresses.readiness=" << node.ready()
-       << "\nlisten_addresses.control=" << node.control() << "\ninternal_port_range=" << mesh_port << ",7315\n";
+  file << "listen_addresses.front=" << at_port(node.private_ip, front_port)
+       << "\nlisten_addresses.readiness=" << at_port(node.private_ip, ready_port)
+       << "\nlisten_addresses.control=" << at_port(node.private_ip, control_port)
+       << "\ninternal_port_range=" << mesh_port << "," << mesh_port_last << "\n";
+  if (plan.relay != nullptr) file << "listen_addresses.mesh=" << at_port(node.private_ip, mesh_port) << "\n";
   std::string seeds;
   for (std::unique_ptr<Node> const& item : all)
-    if (item->seed) seeds += (seeds.empty() ? "" : ",") + item->control();
+    if (item->seed && !item->removed) seeds += (seeds.empty() ? "" : ",") + item->control();
   file << "seed_addresses=" << seeds << "\nfirst_start=" << (first ? "true" : "false")
        << "\nloss_counted=" << (node.core ? "true" : "false") << "\nlimits.processor_share=0.45\n";
-  if (node.core) file << "data_directory=" << plan.folder << "/" << node.name << "/data\n";
+  if (node.core) file << "data_directory=" << node.disk << "\n";
   file << "discovery=registration\nentry=virtual_address\nbeat_interval_ms=1200\n"
        << "contracts=base,drain,config,cost,retry,recover,engine,stream\ntolerated_losses.machines=1\n"
        << "bounds.seed_lag_s=3\nbounds.address_reuse_s=2\nbounds.in_touch_ms=3000\nbounds.acknowledge_ms=4000\n"
@@ -88,7 +106,7 @@
   std::filesystem::create_directories(home + (node.core ? "/data" : ""));
   settings(node, first);
   std::string const variable = "PIPITSPOOL_NODE_FILE=" + home + "/node.conf";
-  std::string const log = home + "/log";
+  std::string const log = node.log;
   pid_t const parent = ::getpid();
   pid_t const made = ::fork();
   if (made == 0) {
@@ -103,6 +121,9 @@
     ::_exit(127);
   }
   node.pid = made;
+  if (plan.relay != nullptr)
+    for (unsigned const port : {front_port, control_port, ready_port, mesh_port})
+      plan.relay->open(at_port(node.ip, port), at_port(node.private_ip, port));
   node.frozen = false;
   node.leaving = false;
   node.cpu = 0;
@@ -111,13 +132,7 @@
 
 void Nodes::start_all() {
   for (std::unique_ptr<Node> const& node : all) start(*node, true);
-  for (std::unique_ptr<Node> const& node : all) {
-    Node* const at = node.get();
-    every(seconds(1), [this, at] {
-      poll(*at);
-      return true;
-    });
-  }
+  for (std::unique_ptr<Node> const& node : all) watch(*node);
   every(millis(50), [this] {
     reap();
     if (now() >= next_sample) {
@@ -128,6 +143,67 @@
   });
 }
 
+void Nodes::watch(Node& node) {
+  Node* const at = &node;
+  every(seconds(1), [this, at] {
+    if (!at->removed) poll(*at);
+    return !at->removed;
+  });
+}
+
+void Nodes::wipe(Node& node, Micros back_after) {
+  if (node.pid <= 0 || node.leaving) return;
+  kill(node, back_after);
+  // The process is dead before the next one starts, and so nobody holds a file of it.
+  std::string const disk = node.disk;
+  after(millis(150), [disk] {
+    std::error_code wrong;
+    std::filesystem::remove_all(disk, wrong);
+    std::filesystem::create_directories(disk, wrong);
+  });
+}
+
+void Nodes::replace(Node& node, Micros new_after) {
+  if (node.pid <= 0 || node.leaving || node.removed) return;
+  kill(node, -1);
+  back[node.pid] = -1;
+  node.removed = true;
+  node.in = false;
+  unplanned(now() + new_after + seconds(4));
+  bool const was_seed = node.seed;
+  bool const core = node.core;
+  std::string const zone = node.zone;
+  after(new_after, [this, was_seed, core, zone] {
+    if (ending) return;
+    Node& made = add(zone, core, was_seed);
+    start(made, false);
+    watch(made);
+  });
+}
+
+void Nodes::reload(Node& node) {
+  if (node.pid <= 0 || node.leaving || node.removed) return;
+  settings(node, false);
+  ::kill(node.pid, SIGHUP);
+}
+
+void Nodes::troubled(Node& node, Micros until) {
+  node.last_trouble = now();
+  node.troubled_until = std::max(node.troubled_until, until);
+  unplanned(until);
+}
+
+void Nodes::look_at_logs() {
+  for (std::unique_ptr<Node> const& node : all) {
+    std::ifstream file(node->log);
+    std::string line;
+    int told = 0;
+    while (std::getline(file, line))
+      if (line.find(" E910 ") != std::string::npos && ++told <= 3)
+        judge.broken(Promise::invariant, node->name + ": " + line.substr(0, 300));
+  }
+}
+
 void Nodes::kill(Node& node, Micros back_after) {
   if (node.pid <= 0 || node.leaving) return;
   node.last_trouble = now();
@@ -186,7 +262,7 @@
 
 bool Nodes::all_ready() const {
   for (std::unique_ptr<Node> const& node : all)
-    if (!node->in) return false;
+    if (!node->in && !node->removed) return false;
   return true;
 }
 
@@ -207,6 +283,7 @@
       back.erase(planned);
     }
     node->pid = 0;
+    if (plan.relay != nullptr) plan.relay->shut(node->ip);
     node->cpu_ended += node->cpu;
     node->cpu = 0;
     node->last_trouble = now();
@@ -245,9 +322,16 @@
             millis(900));
 }
 
+Node& Nodes::any(RandomSource& random) {
+  for (;;) {
+    Node& node = *all[random.below(all.size())];
+    if (!node.removed) return node;
+  }
+}
+
 Node* Nodes::by_ip(std::string const& ip) {
   for (std::unique_ptr<Node> const& node : all)
-    if (node->ip == ip) return node.get();
+    if (node->ip == ip || node->private_ip == ip) return node.get();
   return nullptr;
 }
 
@@ -256,6 +340,7 @@
   std::vector<Node*> in;
   std::vector<Node*> elsewhere;
   for (std::unique_ptr<Node> const& node : all) {
+    if (node->removed) continue;
     if (node->zone == zone) {
       here.push_back(node.get());
       if (node->in) in.push_back(node.get());
@@ -273,8 +358,12 @@
 bool Nodes::in_touch(Node const& node, Micros at) const {
   if (at - last_held_up < touch) return false;
   if (node.pid <= 0 || node.frozen || node.leaving || at - node.last_trouble < touch) return false;
+  if (at - node.troubled_until < touch) return false;
+  for (std::unique_ptr<Node> const& item : all)
+    if (item->core && !item->removed && at - item->troubled_until < touch) return false;
   for (std::unique_ptr<Node> const& item : all)
-    if (item->core && (item->frozen || item->pid <= 0 || item->leaving || at - item->last_trouble < touch))
+    if (item->core && !item->removed &&
+        (item->frozen || item->pid <= 0 || item->leaving || at - item->last_trouble < touch))
       return false;
   return true;
 }
@@ -287,7 +376,7 @@
 
 bool Nodes::calm(Micros at) const {
   for (std::unique_ptr<Node> const& item : all)
-    if (!in_touch(*item, at)) return false;
+    if (!item->removed && !in_touch(*item, at)) return false;
   return true;
 }
 
--- a/proof/stage/nodes.h
+++ b/proof/stage/nodes.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "base/random.h"
+#include "proof/stage/fault_relay.h"
 #include "proof/stage/judge.h"
 #include "proof/stage/line.h"
 #include "proof/stage/shapes.h"
@@ -18,12 +20,16 @@
   std::string name;
   std::string zone;
   std::string ip;
+  std::string private_ip;  // where its process listens; the same without a relay
+  std::string disk;        // its data folder
   bool core = false;
+  bool removed = false;  // it is gone for good
   bool seed = false;
   pid_t pid = 0;
   bool frozen = false;
   bool leaving = false;  // it was told to end
   Micros last_trouble = 0;
+  Micros troubled_until = 0;
   Micros told_to_end = -1;
   // As the platform sees its readiness.
   int misses = 2;
@@ -37,14 +43,21 @@
   std::string front() const { return ip + ":8263"; }
   std::string control() const { return ip + ":8262"; }
   std::string ready() const { return ip + ":8268"; }
+  std::string log;  // path
 };
 
 struct NodesPlan {
   std::string folder;
   std::string program;
   int net = 60;
+  FaultRelay* relay = nullptr;  // between all machines; none where they reach each other directly
 };
 
+constexpr unsigned front_port = 8263;
+constexpr unsigned control_port = 8262;
+constexpr unsigned ready_port = 8268;
+constexpr unsigned mesh_port = 7300;
+
 class Nodes {
  public:
   Nodes(NodesPlan plan_, Shape const& shape_, Judge& judge_);
@@ -54,6 +67,18 @@
   void kill(Node& node, Micros back_after);
   void term(Node& node, Micros back_after);
   void freeze(Node& node, Micros span);
+  // Killed, and its disk is lost; it comes back empty at its address.
+  void wipe(Node& node, Micros back_after);
+  // Gone for good; a new one with the same role and an empty disk takes its place at another address.
+  void replace(Node& node, Micros new_after);
+  // Its settings file changes, and it is told so.
+  void reload(Node& node);
+  // Its links are in trouble until then: it is not in touch.
+  void troubled(Node& node, Micros until);
+  // The public address of a node's address.
+  std::string public_address(std::string const& address) const;
+  // The first lines of its logs that tell of a violated invariant.
+  void look_at_logs();
   // Told to end, and ended at last; true once none is there any more.
   void end_all();
   bool all_gone() const;
@@ -73,14 +98,19 @@
   bool calm(Micros now) const;
   void sample();
 
-  std::vector<std::unique_ptr<Node>> all;
+  std::vector<std::unique_ptr<Node>> all;      // also those that were removed
   std::map<std::string, std::string> zone_of;  // by IP number: nodes and workers
+  FaultRelay* relay() const { return plan.relay; }
+  // One that was not removed, by chance.
+  Node& any(RandomSource& random);
   std::uint64_t mesh_bytes = 0;
   std::uint64_t mesh_bytes_across = 0;
   std::uint64_t polls = 0;  // of nodes in touch
   std::uint64_t polls_unready = 0;
 
  private:
+  Node& add(std::string const& zone, bool core, bool seed);
+  void watch(Node& node);
   void start(Node& node, bool first);
   void settings(Node const& node, bool first) const;
   void reap();
@@ -93,6 +123,8 @@
   Judge& judge;
   std::map<pid_t, Micros> back;  // processes that are being ended, and when they start again; -1 for never
   bool ending = false;
+  int last_number = 0;
+  std::map<std::string, std::string> public_of;  // by private IP number
   Micros next_sample = 0;
   Micros last_held_up = -seconds(3600);
   Micros last_unplanned = -seconds(3600);
--- a/proof/stage/operators.cc
+++ b/proof/stage/operators.cc
@@ -16,6 +16,7 @@
 constexpr Micros in_force_within = seconds(2);
 constexpr Micros acknowledge_within = seconds(4);
 constexpr Micros give_up = seconds(12);
+constexpr Micros read_gap = millis(250);
 constexpr std::size_t idle_most = 4;
 
 std::string idle_name(int number) { return "r-idle" + std::to_string(number); }
@@ -55,7 +56,7 @@
   made->body = std::move(body);
   made->began = now();
   made->done = std::move(done);
-  send(made, nodes.all[random.below(nodes.all.size())]->control());
+  send(made, nodes.any(random).control());
 }
 
 void Operators::send(std::shared_ptr<Call> const& call, std::string const& address) {
@@ -99,7 +100,7 @@
 void Operators::move(std::shared_ptr<Call> const& call) {
   if (now() - call->began > give_up) return call->done(0, "");
   Micros const pause = std::min<Micros>(millis(1000), millis(100) << std::min(call->sends, 4));
-  after(pause, [this, call] { send(call, nodes.all[random.below(nodes.all.size())]->control()); });
+  after(pause, [this, call] { send(call, nodes.any(random).control()); });
 }
 
 // --- tasks, one after the other
@@ -191,7 +192,44 @@
   return idle_name(*std::min_element(numbers.begin(), numbers.end()));
 }
 
+// Anybody may read at any node at any time, and is never shown what was replaced long ago.
+void Operators::read_all_the_time() {
+  every(read_gap, [this] {
+    if (begun()) read_once();
+    return !reading_stopped;
+  });
+}
+
+void Operators::read_once() {
+  Node& node = nodes.any(random);
+  Micros const sent_at = now();
+  std::shared_ptr<Line> const line = Line::dial(node.control(), "127." + std::to_string(net) + ".6.3", millis(1000));
+  readers.push_back(line);
+  if (readers.size() > 100) readers.pop_front();
+  std::shared_ptr<unsigned> const status = std::make_shared<unsigned>(0);
+  std::shared_ptr<std::string> const got = std::make_shared<std::string>();
+  Line::Callbacks callbacks;
+  callbacks.head = [status](unsigned code) { *status = code; };
+  callbacks.body = [got](std::string_view bytes) { got->append(bytes); };
+  std::string const name = node.name;
+  callbacks.end = [this, status, got, name, sent_at](Line::End how) {
+    if (how != Line::End::whole || *status != 200) return;
+    ++tally.readings;
+    std::size_t const at = got->find("\"version\":");
+    std::uint64_t const version = at == std::string::npos ? 0 : std::strtoull(got->c_str() + at + 10, nullptr, 10);
+    std::uint64_t least = 0;
+    for (std::pair<Micros, std::uint64_t> const& item : acknowledgements)
+      if (item.first + in_force_within < sent_at) least = std::max(least, item.second);
+    if (version < least)
+      judge.broken(Promise::read_older, name + " answered a reading with version " + std::to_string(version) +
+                                            " after " + std::to_string(least) + " was acknowledged");
+  };
+  line->ask(request_of("GET", "/Configuration.Read", node.control(), "Connection: close\r\n", ""), std::move(callbacks),
+            millis(1500));
+}
+
 void Operators::acknowledged(Configuration const& configuration, Micros began) {
+  acknowledgements.emplace_back(now(), configuration.version);
   ++tally.acknowledged;
   tally.acks.push_back(now() - began);
   Configuration const before = in_force;
@@ -402,11 +440,11 @@
   if (added.size() + removed.size() == 0 || (tally.changes > 20 && !random.chance(0.3))) return;
   after(in_force_within + millis(5), [this, added, removed] {
     for (std::unique_ptr<Node> const& node : nodes.all) {
-      if (node->pid <= 0 || !node->in) continue;
+      if (node->pid <= 0 || !node->in || node->removed) continue;
       for (int const number : added) ask(*node, number, true);
       for (int const number : removed) ask(*node, number, false);
     }
-    Node& any = *nodes.all[random.below(nodes.all.size())];
+    Node& any = nodes.any(random);
     if (any.pid > 0 && any.in) ask(any, 1000000 + last_idle, false);
   });
 }
--- a/proof/stage/operators.h
+++ b/proof/stage/operators.h
@@ -27,7 +27,8 @@
   std::uint64_t invalid = 0;
   std::uint64_t checks = 0;  // requests that show which configuration is in force
   std::uint64_t read_back = 0;
-  std::vector<Micros> acks;  // how long each acknowledgement took
+  std::uint64_t readings = 0;  // at any node, all the time
+  std::vector<Micros> acks;    // how long each acknowledgement took
 };
 
 class Operators {
@@ -38,6 +39,9 @@
   void begin();
   bool begun() const { return in_force.version > 0; }
   void perform(Trouble const& trouble);
+  // Readings at any node, until they are stopped.
+  void read_all_the_time();
+  void stop_reading() { reading_stopped = true; }
   // Reads the configuration back, again and again for that long; then says so.
   void read_back(Micros span, std::function<void()> done);
   bool idle() const { return !busy && tasks.empty(); }
@@ -77,6 +81,7 @@
   void task(Task task_);
   void begin_with(Configuration const& first, std::function<void()> done);
   void read_until(Micros until, std::function<void()> done);
+  void read_once();
   void next_task();
   void call(std::string target, std::string fields, std::string body,
             std::function<void(unsigned, std::string const&)> done);
@@ -110,6 +115,9 @@
   std::uint64_t last_version = 0;
   std::uint64_t last_check = 0;
   std::vector<std::shared_ptr<Line>> lines;
+  std::deque<std::shared_ptr<Line>> readers;
+  std::vector<std::pair<Micros, std::uint64_t>> acknowledgements;  // when, and of which version
+  bool reading_stopped = false;
 };
 
 }  // namespace pipit::stage
--- /dev/null
+++ b/proof/stage/rude_clients.cc
@@ -0,0 +1,57 @@
+#include "proof/stage/rude_clients.h"
+
+#include "proof/stage/clock.h"
+
+namespace pipit::stage {
+
+namespace {
+constexpr std::size_t links_most = 60;
+constexpr std::size_t large_head = 40000;
+}  // namespace
+
+void RudeClients::come(int count, Micros gap) {
+  for (int n = 0; n < count; ++n) after(gap * n, [this] { one(); });
+}
+
+// Nothing of it may reach a worker: what is whole goes to a path that no route has.
+std::string RudeClients::words() {
+  std::string const head = "POST /nowhere/ HTTP/1.1\r\nHost: rude.example\r\n";
+  switch (random.below(7)) {
+    case 0:
+      return head;
+    case 1:
+      return "\x16\x03\x01 no request at all\r\n\r\n";
+    case 2:
+      return head + "X-Padding: " + std::string(large_head, 'x') + "\r\n\r\n";
+    case 3:
+      return head + "Content-Length: 1000\r\n\r\nhalf of it";
+    case 4:
+      return head + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nwhich";
+    case 5:
+      return head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nno chunk";
+    default:
+      return head + "Content-Length: 2\r\n\r\nokGET / HTTP/1.1\r\n\r\n";
+  }
+}
+
+void RudeClients::one() {
+  ++came;
+  Node& node = nodes.any(random);
+  std::string const from = "127." + std::to_string(net) + ".4." + std::to_string(1 + came % 200);
+  std::shared_ptr<Link> const link = Link::dial(node.front(), from, seconds(1));
+  links.push_back(link);
+  if (links.size() > links_most) links.pop_front();
+  std::string const text = words();
+  bool const leaves = random.chance(0.5);
+  bool const resets = random.chance(0.5);
+  std::weak_ptr<Link> const weak = link;
+  link->listen({[weak, text, leaves, resets] {
+                  std::shared_ptr<Link> const at = weak.lock();
+                  if (!at) return;
+                  at->write(text);
+                  if (leaves) at->close(resets);
+                },
+                nullptr, nullptr, nullptr});
+}
+
+}  // namespace pipit::stage
--- /dev/null
+++ b/proof/stage/schedule.cc
@@ -0,0 +1,102 @@
+#include "proof/stage/schedule.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <vector>
+
+#include "base/hash.h"
+#include "base/random.h"
+
+namespace pipit::stage {
+
+namespace {
+constexpr double first_at = 0.5;
+constexpr double span_most = 5;
+constexpr double overlap = 1.5;  // within so many seconds the troubles of one moment begin
+
+// One trouble that lasts up to span_most seconds; %.1f stands for its beginning, its length and its x.
+struct Kind {
+  char const* text;  // with AT, FOR and X to be filled in
+  double for_least;
+  double for_most;
+  bool loses_disk;
+};
+Kind const kinds[] = {
+    {"kill@AT:on=core,for=FOR", 0.3, 3, false},
+    {"kill@AT:on=plain,for=FOR", 0.3, 3, false},
+    {"kill@AT:count=3,for=FOR", 0.3, 2, false},
+    {"term@AT:on=core,for=FOR,gap=1", 0.5, 2, false},
+    {"term@AT:count=2,for=FOR,gap=0.5", 0.5, 2, false},
+    {"freeze@AT:on=core,for=FOR", 0.5, 5, false},
+    {"freeze@AT:count=2,for=FOR", 0.5, 4, false},
+    {"restart@AT:for=FOR", 0.3, 1.5, false},
+    {"blackout@AT:for=FOR", 0.3, 2, false},
+    {"blackout@AT:for=FOR,x=1", 0.3, 2, true},
+    {"blackout@AT:on=core,share=1,for=FOR", 0.3, 2, false},
+    {"wipe@AT:on=core,for=FOR", 0.5, 2, true},
+    {"replace@AT:on=core,for=FOR", 0.5, 2, true},
+    {"cut@AT:on=core,for=FOR", 1, 5, false},
+    {"cut@AT:on=plain,for=FOR", 1, 5, false},
+    {"cut@AT:for=FOR,x=1", 1, 5, false},
+    {"cut@AT:count=3,for=FOR", 1, 4, false},
+    {"deaf@AT:on=core,for=FOR", 1, 5, false},
+    {"deaf@AT:for=FOR,x=1", 1, 5, false},
+    {"halves@AT:on=core,for=FOR", 1, 5, false},
+    {"delay@AT:for=FOR,x=X", 1, 4, false},
+    {"reset@AT:share=X", 0, 0, false},
+    {"lost@AT:share=X,for=FOR", 1, 4, false},
+    {"mute@AT:share=0.1,for=FOR", 1, 3, false},
+    {"crash@AT:count=1,for=FOR", 1, 3, false},
+    {"dark@AT:count=1,for=FOR", 1, 3, false},
+    {"surplus@AT:share=0.5,x=0.2,for=FOR", 1, 4, false},
+    {"garble@AT:share=0.5,x=0.1,for=FOR", 1, 4, false},
+    {"release@AT:share=0.5,gap=0.6", 0, 0, false},
+    {"farewell@AT:share=0.4,gap=0.6", 0, 0, false},
+    {"reload@AT:share=1", 0, 0, false},
+    {"rude@AT:count=20,gap=0.1", 0, 0, false},
+    {"burst@AT:x=2,for=FOR", 1, 3, false},
+    {"race@AT:count=3,gap=0.4", 0, 0, false},
+    {"storm@AT:for=FOR,gap=0.1", 1, 3, false},
+    {"bad@AT:count=4,gap=0.2", 0, 0, false},
+};
+
+std::string figure(double value) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.2f", value);
+  return text;
+}
+
+void fill(std::string& text, std::string const& word, double value) {
+  std::size_t const at = text.find(word);
+  if (at != std::string::npos) text.replace(at, word.size(), figure(value));
+}
+
+double between(RandomSource& random, double least, double most) {
+  return least + (most - least) * static_cast<double>(random.below(1001)) / 1000;
+}
+}  // namespace
+
+std::string soak_schedule(std::uint64_t seed, double seconds, double calm) {
+  RandomSource random(hash_bits(seed) ^ 0x50a4);
+  double const end = std::max(first_at, seconds - calm - span_most);
+  // Changes go on under everything.
+  std::string out =
+      "change@0.40:count=" + std::to_string(4 + random.below(12)) + ",gap=" + figure(between(random, 0.3, 1.2));
+  bool disk_lost = false;
+  for (double moment = between(random, first_at, first_at + 2); moment <= end; moment += between(random, 2, 7)) {
+    std::uint64_t const together = 2 + random.below(2);
+    for (std::uint64_t n = 0; n < together; ++n) {
+      Kind const& kind = kinds[random.below(std::size(kinds))];
+      if (kind.loses_disk && disk_lost) continue;
+      disk_lost = disk_lost || kind.loses_disk;
+      std::string text = kind.text;
+      fill(text, "AT", std::min(end, moment + between(random, 0, overlap)));
+      fill(text, "FOR", between(random, kind.for_least, kind.for_most));
+      fill(text, "X", between(random, 0.05, 0.7));
+      out += "; " + text;
+    }
+  }
+  return out;
+}
+
+}  // namespace pipit::stage
--- a/proof/stage/shapes.cc
+++ b/proof/stage/shapes.cc
@@ -95,8 +95,19 @@
   return out;
 }
 
+// As small as the tiny one, with a keeper more and machines without a disk in two zones: what is lost of it leaves
+// enough.
+Shape soak() {
+  Shape out = tiny();
+  out.name = "soak";
+  out.zones = {{"left", 2, 1, 2, 0.4, 4, 0}, {"middle", 1, 1, 2, 0.3, 4, 0.3}, {"right", 1, 1, 2, 0.3, 4, 0.6}};
+  out.classes[0].per_second = 5;
+  out.classes[1].per_second = 20;
+  return out;
+}
+
 std::vector<Shape> const& shapes() {
-  static std::vector<Shape> const all = {small_coop(), small_utility(), tiny()};
+  static std::vector<Shape> const all = {small_coop(), small_utility(), tiny(), soak()};
   return all;
 }
 
--- a/proof/stage/stage.cc
+++ b/proof/stage/stage.cc
@@ -5,8 +5,12 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
 
 #include "proof/stage/clock.h"
+#include "proof/stage/worker_parts.h"
 
 namespace pipit::stage {
 
@@ -14,15 +18,31 @@
 constexpr Micros lag_tick = millis(5);
 constexpr Micros lag_most = millis(150);  // above it the stage itself is no fair judge of time
 constexpr std::size_t trouble_most = 200;
+constexpr Micros recovery_within = seconds(12);
+constexpr double recovered_least = 0.25;
+
+// Workers live at the numbers that the relay gives them, or at their own.
+bool worker_ip(std::string const& ip) {
+  std::size_t const second = ip.find('.', ip.find('.') + 1);
+  int const third = std::atoi(ip.c_str() + second + 1);
+  return (third >= 10 && third < 100) || (third >= 110 && third < 120);
+}
 }  // namespace
 
 Stage::Stage(StagePlan plan_)
     : plan(std::move(plan_)),
       random(plan.seed),
-      nodes({plan.folder, plan.program, plan.net}, plan.shape, judge),
+      relay(plan.relayed ? std::make_unique<FaultRelay>(random.next(),
+                                                        [this](std::string const& ip) {
+                                                          std::string const at = nodes.public_address(ip);
+                                                          return at.empty() ? ip : at;
+                                                        })
+                         : nullptr),
+      nodes({plan.folder, plan.program, plan.net, relay.get()}, plan.shape, judge),
       workers(plan.shape, nodes, judge, plan.net, random.next()),
       callers(plan.shape, nodes, judge, plan.net, random.next(), plan.rate_scale),
-      operators(plan.shape, nodes, judge, plan.net, random.next()) {
+      operators(plan.shape, nodes, judge, plan.net, random.next()),
+      rude(nodes, plan.net, random.next()) {
   Line::stray = [this](std::string_view bytes) {
     judge.broken(Promise::mixed, "bytes where no answer is due: " + std::string(bytes.substr(0, 60)));
   };
@@ -70,6 +90,7 @@
   nodes.polls = nodes.polls_unready = 0;
   lags.clear();
   callers.begin();
+  operators.read_all_the_time();
   std::size_t many = 0;
   for (Trouble const& trouble : plan.troubles)
     if (++many <= trouble_most) after(trouble.at, [this, trouble] { perform(trouble); });
@@ -84,6 +105,7 @@
   bool read = false;
   operators.read_back(seconds(3), [&read] { read = true; });
   if (!until(seconds(16), [&read] { return read; })) judge.broken(Promise::config_lost, "reading back never ended");
+  operators.stop_reading();
   nodes.sample();
   workers.quiet();
   nodes.end_all();
@@ -91,6 +113,9 @@
   std::uint64_t served = 0;
   for (ClassTally const& item : callers.tally.classes) served += item.in_aim + item.late;
   if (served == 0) judge.broken(Promise::unserved, "no request was served");
+  nodes.look_at_logs();
+  look_at_failures();
+  look_at_recovery();
   judge.look_at_retries(plan.shape.retry_ratio, plan.shape.extra_retries, seconds(10));
   return !interrupted;
 }
@@ -98,7 +123,7 @@
 std::vector<Node*> Stage::some(Trouble const& trouble) {
   std::vector<Node*> up;
   for (std::unique_ptr<Node> const& node : nodes.all) {
-    if (node->pid <= 0 || node->leaving || node->frozen) continue;
+    if (node->pid <= 0 || node->leaving || node->frozen || node->removed) continue;
     if (trouble.on == "core" && !node->core) continue;
     if (trouble.on == "plain" && node->core) continue;
     if (trouble.on == "seed" && !node->seed) continue;
@@ -139,12 +164,34 @@
     case Trouble::Kind::dark:
       nodes.unplanned(now() + trouble.span);
       return workers.dark(trouble);
+    case Trouble::Kind::farewell:
     case Trouble::Kind::release:
       return workers.release(trouble);
     case Trouble::Kind::surplus:
     case Trouble::Kind::garble:
       nodes.unplanned(now() + trouble.span);
       return workers.lie(trouble);
+    case Trouble::Kind::reload:
+      for (Node* const node : some(trouble)) nodes.reload(*node);
+      return;
+    case Trouble::Kind::wipe:
+      for (Node* const node : some(trouble)) nodes.wipe(*node, trouble.span);
+      return;
+    case Trouble::Kind::replace:
+      for (Node* const node : some(trouble)) nodes.replace(*node, trouble.span);
+      return;
+    case Trouble::Kind::blackout:
+      return blackout(trouble);
+    case Trouble::Kind::rude:
+      return rude.come(trouble.count, trouble.gap);
+    case Trouble::Kind::cut:
+    case Trouble::Kind::deaf:
+    case Trouble::Kind::halves:
+    case Trouble::Kind::delay:
+    case Trouble::Kind::reset:
+    case Trouble::Kind::lost:
+    case Trouble::Kind::mute:
+      return perform_on_links(trouble);
     case Trouble::Kind::burst:
     case Trouble::Kind::hot:
       return callers.perform(trouble);
@@ -153,6 +200,109 @@
   }
 }
 
+// All are killed at one moment, and come back in any order; some of those with a disk come back without it.
+void Stage::blackout(Trouble const& trouble) {
+  int disks = static_cast<int>(trouble.x);
+  for (Node* const node : some(trouble)) {
+    Micros const back = trouble.span + static_cast<Micros>(random.below(300000));
+    if (node->core && disks-- > 0)
+      nodes.wipe(*node, back);
+    else
+      nodes.kill(*node, back);
+  }
+}
+
+void Stage::perform_on_links(Trouble const& trouble) {
+  if (!relay) return;
+  std::set<std::string> chosen;
+  std::vector<Node*> const some_nodes = some(trouble);
+  std::size_t const half = some_nodes.size() / 2;
+  for (std::size_t n = 0; n < some_nodes.size(); ++n)
+    if (trouble.kind != Trouble::Kind::halves || n < half) chosen.insert(some_nodes[n]->ip);
+  std::set<std::string> core;
+  for (std::unique_ptr<Node> const& node : nodes.all)
+    if (node->core) core.insert(node->ip);
+  Micros const until = now() + trouble.span;
+  bool const other_way = trouble.x > 0;
+  // Whoever is cut off from one of the core is not in touch, and lost answers hold up anybody.
+  bool const all_troubled = trouble.kind == Trouble::Kind::lost || trouble.kind == Trouble::Kind::mute ||
+                            trouble.kind == Trouble::Kind::delay || trouble.kind == Trouble::Kind::reset;
+  for (std::unique_ptr<Node> const& node : nodes.all) {
+    bool const halved = trouble.kind == Trouble::Kind::halves && node->core;
+    if (all_troubled || halved || chosen.count(node->ip) > 0) nodes.troubled(*node, until);
+  }
+  LinkFault fault;
+  fault.until = until;
+  std::function<bool(std::string const&)> const is_node = [this](std::string const& ip) {
+    return nodes.by_ip(ip) != nullptr;
+  };
+  switch (trouble.kind) {
+    case Trouble::Kind::cut:
+      fault.concerns = [chosen, is_node, other_way](std::string const& from, std::string const& to) {
+        bool const apart = (chosen.count(from) > 0) != (chosen.count(to) > 0);
+        bool const workers_too = other_way && from.compare(0, 4, "127.") == 0;
+        if (is_node(from) && is_node(to)) return apart;
+        // Callers and operators reach them all the same.
+        return workers_too && apart && (worker_ip(from) || worker_ip(to));
+      };
+      return relay->begin(fault);
+    case Trouble::Kind::deaf:
+      fault.concerns = [chosen, is_node, other_way](std::string const& from, std::string const& to) {
+        std::string const& deaf = other_way ? from : to;
+        std::string const& other = other_way ? to : from;
+        return is_node(from) && is_node(to) && chosen.count(deaf) > 0 && chosen.count(other) == 0;
+      };
+      return relay->begin(fault);
+    case Trouble::Kind::halves:
+      fault.concerns = [chosen, core](std::string const& from, std::string const& to) {
+        return core.count(from) > 0 && core.count(to) > 0 && (chosen.count(from) > 0) != (chosen.count(to) > 0);
+      };
+      return relay->begin(fault);
+    case Trouble::Kind::delay:
+      fault.kind = LinkFault::Kind::delay;
+      fault.span = static_cast<Micros>(trouble.x * 1e6);
+      fault.concerns = [is_node](std::string const& from, std::string const& to) {
+        return is_node(from) && is_node(to);
+      };
+      return relay->begin(fault);
+    case Trouble::Kind::lost:
+    case Trouble::Kind::mute:
+      fault.kind = LinkFault::Kind::swallow;
+      fault.chance = trouble.share;
+      fault.port = trouble.kind == Trouble::Kind::lost ? control_port : worker_port;
+      fault.concerns = [](std::string const&, std::string const&) { return true; };
+      return relay->begin(fault);
+    default:
+      return relay->reset([](std::string const&, std::string const&) { return true; }, trouble.share);
+  }
+}
+
+void Stage::look_at_failures() {
+  std::map<std::string, std::string> logs;
+  for (std::unique_ptr<Node> const& node : nodes.all) {
+    std::ifstream file(node->log);
+    std::stringstream text;
+    text << file.rdbuf();
+    logs[node->name] = text.str();
+  }
+  for (Callers::Failed const& item : callers.failed)
+    if (logs[item.node].find("id " + item.attempt + " ") == std::string::npos &&
+        logs[item.node].find(" E506 ") == std::string::npos)
+      judge.broken(Promise::unexplained, item.attempt + " at " + item.node);
+}
+
+// Of what was sent in the last seconds of the experiment at least a quarter is served, where all troubles were over
+// long before.
+void Stage::look_at_recovery() {
+  Micros last = 0;
+  for (Trouble const& trouble : plan.troubles) last = std::max(last, trouble.at + trouble.span);
+  Micros const length = static_cast<Micros>(plan.seconds * 1e6);
+  if (last + recovery_within + seconds(2) > length) return;
+  std::optional<double> const share = callers.served_since(last + recovery_within);
+  if (share && *share < recovered_least)
+    judge.broken(Promise::unrecovered, std::to_string(*share) + " of the requests long after the last trouble");
+}
+
 Figures Stage::figures() {
   Figures out;
   char text[64];
@@ -246,6 +396,13 @@
   out.put("configuration races", static_cast<double>(o.races));
   out.put("configurations invalid", static_cast<double>(o.invalid));
   out.put("configuration checks at nodes", static_cast<double>(o.checks));
+  out.put("configuration readings at any node", static_cast<double>(o.readings));
+  out.put("failed requests looked for in logs", static_cast<double>(callers.failed.size()));
+  if (relay) {
+    out.put("bytes through the relay", static_cast<double>(relay->carried));
+    out.put("answers swallowed", static_cast<double>(relay->swallowed));
+    out.put("connections reset", static_cast<double>(relay->resets));
+  }
   out.put("configuration acknowledged p50 ms", quantile(o.acks, 0.5) / 1000);
   out.put("configuration acknowledged most ms", quantile(o.acks, 1) / 1000);
   out.put("workers that left unacknowledged", static_cast<double>(w.leaves_unacknowledged));
--- a/proof/stage/stage.h
+++ b/proof/stage/stage.h
@@ -8,6 +8,7 @@
 #include "proof/stage/figures.h"
 #include "proof/stage/nodes.h"
 #include "proof/stage/operators.h"
+#include "proof/stage/rude_clients.h"
 #include "proof/stage/workers.h"
 
 namespace pipit::stage {
@@ -20,6 +21,7 @@
   std::vector<Trouble> troubles;
   std::uint64_t seed = 1;
   int net = 60;
+  bool relayed = false;  // all machines reach each other through a relay that can fail
   std::string folder;
   std::string program;  // lodge
 };
@@ -37,13 +39,20 @@
   bool until(Micros most, std::function<bool()> yes);
   void perform(Trouble const& trouble);
   std::vector<Node*> some(Trouble const& trouble);
+  void perform_on_links(Trouble const& trouble);
+  void blackout(Trouble const& trouble);
+  // Every failed request at a node that was in touch stands in that node's log.
+  void look_at_failures();
+  void look_at_recovery();
 
   StagePlan const plan;
   RandomSource random;
+  std::unique_ptr<FaultRelay> relay;
   Nodes nodes;
   Workers workers;
   Callers callers;
   Operators operators;
+  RudeClients rude;
   std::vector<Micros> lags;  // by how much the stage's own loop came late
   Micros last_turn = 0;
   double ready_after = 0;
--- a/proof/stage/troubles.cc
+++ b/proof/stage/troubles.cc
@@ -48,6 +48,8 @@
 Micros micros(double seconds) { return static_cast<Micros>(seconds * 1e6); }
 }  // namespace
 
+bool needs_relay(Trouble::Kind kind) { return kind >= Trouble::Kind::cut; }
+
 char const* trouble_name(Trouble::Kind kind) { return rows[static_cast<std::size_t>(kind)].name; }
 
 std::string trouble_table() {
--- a/proof/stage/worker_beats.cc
+++ b/proof/stage/worker_beats.cc
@@ -30,16 +30,17 @@
 }
 
 void Workers::beat(Worker& worker, int moves) {
-  if (over || worker.state == State::ended || worker.is_dark) return;
-  std::string const address =
-      !worker.beat_at.empty() ? worker.beat_at : nodes.all[worker.next_node % nodes.all.size()]->control();
+  // After its farewell it says nothing more.
+  bool const said_farewell = worker.state == State::draining && worker.drain_said < 0;
+  if (over || worker.state == State::ended || worker.is_dark || said_farewell) return;
+  std::string const address = !worker.beat_at.empty() ? worker.beat_at : any_node(worker);
   bool const leaving = worker.state == State::draining;
   JsonWriter json;
   json.begin_object()
       .key("service")
       .text(worker.service)
       .key("address")
-      .text(worker.ip + ":" + std::to_string(worker_port));
+      .text(worker.public_ip + ":" + std::to_string(worker_port));
   json.key("zone").text(worker.zone).key("version").text("v1").key("slots").number(shape.engine.slots);
   json.key("state").text(leaving ? "draining" : "available").key("cold_remaining_ms").number(0);
   json.key("stage")
@@ -66,11 +67,10 @@
          simdjson::dom::element root;
          std::string_view later;
          if (!parser.parse(simdjson::padded_string(body)).get(root) && !root["beat_address"].get_string().get(later))
-           at->beat_at = later;
+           at->beat_at = nodes.public_address(std::string(later));
          if (!leaving || at->drain_heard >= 0) return;
          at->drain_heard = now();
-         for (std::unique_ptr<Node> const& node : nodes.all)
-           if (node->control() == address) at->drain_in_touch = nodes.in_touch(*node, now());
+         at->drain_heard_by = address;
          after(drain_span + linger, [this, at] { leave(*at, 0); });
        });
 }
@@ -88,10 +88,35 @@
   });
 }
 
+// Says farewell at once, and serves on as long as after a word that it drains.
+void Workers::say_farewell(Worker& worker, int moves) {
+  if (worker.state != State::up) return;
+  std::string const address = !worker.beat_at.empty() ? worker.beat_at : any_node(worker);
+  Worker* const at = &worker;
+  call(worker, address, "/Instances.Leave/" + worker.id, "{\"call_sequence\":" + std::to_string(++worker.order) + "}",
+       [this, at, moves, address](bool good, std::string const&) {
+         if (!good) {
+           at->beat_at.clear();
+           ++at->next_node;
+           if (moves < 6) return say_farewell(*at, moves + 1);
+           ++count.leaves_unacknowledged;
+           return end(*at, false);
+         }
+         at->state = State::draining;
+         at->drain_heard = now();
+         at->drain_heard_by = address;
+         after(drain_span + linger, [this, at] { end(*at, false); });
+       });
+}
+
+std::string Workers::any_node(Worker& worker) {
+  while (nodes.all[worker.next_node % nodes.all.size()]->removed) ++worker.next_node;
+  return nodes.all[worker.next_node % nodes.all.size()]->control();
+}
+
 void Workers::leave(Worker& worker, int moves) {
   if (worker.state == State::ended) return;
-  std::string const address =
-      !worker.beat_at.empty() ? worker.beat_at : nodes.all[worker.next_node % nodes.all.size()]->control();
+  std::string const address = !worker.beat_at.empty() ? worker.beat_at : any_node(worker);
   Worker* const at = &worker;
   call(worker, address, "/Instances.Leave/" + worker.id, "{\"call_sequence\":" + std::to_string(++worker.order) + "}",
        [this, at, moves](bool good, std::string const&) {
@@ -111,6 +136,7 @@
   worker.watch = 0;
   if (worker.door >= 0) ::close(worker.door);
   worker.door = -1;
+  if (nodes.relay() != nullptr) nodes.relay()->shut(worker.public_ip);
   for (std::pair<std::uint64_t const, Job>& job : worker.jobs) {
     job.second.attempt->worker_broke = true;
     worker.engine.cancel(job.first);
--- a/proof/stage/worker_parts.h
+++ b/proof/stage/worker_parts.h
@@ -35,6 +35,7 @@
   explicit Worker(EngineShape const& shape) : engine(shape) {}
   std::string id;
   std::string ip;
+  std::string public_ip;  // that nodes are told
   std::string zone;
   std::string service;
   State state = State::up;
@@ -48,9 +49,9 @@
   std::string beat_at;
   std::size_t next_node = 0;
   std::shared_ptr<Line> line;
-  Micros drain_said = -1;       // since when it says that it leaves
-  Micros drain_heard = -1;      // since when that is acknowledged
-  bool drain_in_touch = false;  // by a node in touch
+  Micros drain_said = -1;   // since when it says that it leaves
+  Micros drain_heard = -1;  // since when that is acknowledged, by whichever node
+  std::string drain_heard_by;
   Lie lie = Lie::none;
   double lie_chance = 0;
   Micros lie_until = 0;
--- a/proof/stage/worker_requests.cc
+++ b/proof/stage/worker_requests.cc
@@ -12,6 +12,8 @@
 
 namespace {
 constexpr std::size_t event_bytes = 60;
+constexpr Micros left_late = millis(500);  // after its caller left, a request reaches no worker any more
+constexpr int left_most = 3;
 }  // namespace
 
 void Workers::on_request(Worker& worker, Conn& conn) {
@@ -46,10 +48,15 @@
     return answer(worker, conn, 500, carried, "");
   }
   Node const* const node = nodes.by_ip(conn.peer);
-  if (worker.drain_heard >= 0 && worker.drain_in_touch && at > worker.drain_heard + drain_span && node != nullptr &&
-      nodes.in_touch(*node, at))
+  bool const in_touch = node != nullptr && nodes.in_touch(*node, at);
+  // Whoever acknowledged it, in touch or not.
+  if (worker.drain_heard >= 0 && at > worker.drain_heard + drain_span && in_touch)
     judge.broken(Promise::drained, id + " came from " + node->name + " to " + worker.id + " " +
-                                       std::to_string((at - worker.drain_heard) / 1000) + " ms after it was told");
+                                       std::to_string((at - worker.drain_heard) / 1000) + " ms after it was told at " +
+                                       worker.drain_heard_by);
+  if (attempt->left_at >= 0 && at - attempt->left_at > left_late && in_touch && ++after_caller_left > left_most)
+    judge.broken(Promise::gone, id + " came from " + node->name + " to " + worker.id + " " +
+                                    std::to_string((at - attempt->left_at) / 1000) + " ms after its caller had left");
   Generation generation;
   generation.id = ++last_job;
   std::string const rank = conn.head.get("X-Request-Priority");
--- a/proof/stage/worker_troubles.cc
+++ b/proof/stage/worker_troubles.cc
@@ -66,9 +66,12 @@
 void Workers::release(Trouble const& trouble) {
   Micros when = 0;
   for (Worker* const worker : some(trouble)) {
-    after(when, [this, worker] {
+    after(when, [this, worker, trouble] {
       if (worker->state != State::up || over) return;
-      drain(*worker);
+      if (trouble.x > 0)
+        say_farewell(*worker, 0);
+      else
+        drain(*worker);
       std::string const zone = worker->zone;
       std::string const ip = worker->ip;
       after(millis(500), [this, zone] {
--- a/proof/stage/workers.cc
+++ b/proof/stage/workers.cc
@@ -19,6 +19,7 @@
 constexpr Micros tick = millis(2);
 constexpr Micros beat_gap = millis(1200);
 constexpr Micros idle_most = seconds(5);
+constexpr int relayed_part = 100;
 }  // namespace
 
 Workers::Workers(Shape const& shape_, Nodes& nodes_, Judge& judge_, int net_, std::uint64_t seed)
@@ -28,6 +29,15 @@
   for (std::unique_ptr<Worker>& worker : all) end(*worker, true);
 }
 
+// The relay's number for a worker: its own with another third part.
+std::string Workers::public_ip_of(std::string const& ip) const {
+  if (nodes.relay() == nullptr) return ip;
+  std::size_t const second = ip.find('.', ip.find('.') + 1);
+  std::size_t const third = ip.find('.', second + 1);
+  int const part = std::atoi(ip.c_str() + second + 1) + relayed_part;
+  return ip.substr(0, second + 1) + std::to_string(part) + ip.substr(third);
+}
+
 std::string Workers::next_ip() {
   ++last_ip;
   return "127." + std::to_string(net) + "." + std::to_string(10 + last_ip / 250) + "." +
@@ -39,6 +49,7 @@
   Worker& worker = *all.back();
   worker.id = "i-" + std::to_string(++last_id) + "-" + std::to_string(random.below(100000));
   worker.ip = ip;
+  worker.public_ip = public_ip_of(ip);
   worker.zone = zone;
   worker.service = service;
   worker.next_node = random.below(nodes.all.size());
@@ -128,6 +139,8 @@
   setsockopt(worker.door, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   if (::bind(worker.door, reinterpret_cast<sockaddr*>(&own), sizeof own) != 0 || ::listen(worker.door, 512) != 0)
     g_error("stage: %s cannot be listened on", worker.ip.c_str());
+  std::string const port = ":" + std::to_string(worker_port);
+  if (nodes.relay() != nullptr) nodes.relay()->open(worker.public_ip + port, worker.ip + port);
   struct Pair {
     Workers* self;
     Worker* worker;
@@ -154,9 +167,10 @@
     std::shared_ptr<Conn> const made = std::make_shared<Conn>();
     Conn* const conn = made.get();
     conn->link = Link::adopt(fd);
-    conn->peer = peer;
+    Node const* const node = nodes.by_ip(peer);
+    conn->peer = node != nullptr ? node->ip : peer;
     conn->since = now();
-    std::map<std::string, std::string>::const_iterator const zone = nodes.zone_of.find(peer);
+    std::map<std::string, std::string>::const_iterator const zone = nodes.zone_of.find(conn->peer);
     conn->across = zone != nodes.zone_of.end() && zone->second != worker.zone;
     if (static_cast<std::int64_t>(worker.conns.size()) >= shape.connection_limit) {
       ++count.over_limit;
--- a/proof/stage/workers.h
+++ b/proof/stage/workers.h
@@ -59,6 +59,7 @@
 
   Worker& open(std::string const& zone, std::string const& service, std::string const& ip);
   std::string next_ip();
+  std::string public_ip_of(std::string const& ip) const;
   void listen(Worker& worker);
   void accept(Worker& worker);
   void fed(Worker& worker, Conn& conn, std::string_view bytes);
@@ -75,6 +76,8 @@
             std::function<void(bool good, std::string const& body)> done);
   void drain(Worker& worker);
   void leave(Worker& worker, int moves);
+  void say_farewell(Worker& worker, int moves);
+  std::string any_node(Worker& worker);
   void end(Worker& worker, bool reset);
   void reuse(std::string const& ip, std::string const& zone);
   std::vector<Worker*> some(Trouble const& trouble);
@@ -90,6 +93,7 @@
   std::uint64_t last_job = 0;
   bool over = false;
   int reused = 0;
+  int after_caller_left = 0;  // requests that came half a second after their caller had left, and more
   std::vector<std::unique_ptr<Worker>> all;
   std::set<std::uint64_t> read_before;
   WorkersTally count;
--- a/src/gate/net/link.cc
+++ b/src/gate/net/link.cc
@@ -193,6 +193,14 @@
   }
 }
 
+std::string Link::peer_ip() const {
+  sockaddr_in peer;
+  socklen_t size = sizeof peer;
+  char text[INET_ADDRSTRLEN];
+  if (fd < 0 || getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) != 0) return "";
+  return inet_ntop(AF_INET, &peer.sin_addr, text, sizeof text) == nullptr ? "" : text;
+}
+
 bool Link::quiet() const {
   if (fd < 0 || state != State::up) return false;
   char byte = 0;
--- a/src/gate/net/link.h
+++ b/src/gate/net/link.h
@@ -45,6 +45,8 @@
   // Whether somebody said no when it was dialled: no process listens there.
   bool refused() const { return told_no; }
   bool connected() const { return state == State::up; }
+  // The IP number of the other end; empty once the connection is no more.
+  std::string peer_ip() const;
   // Open, and nothing has come that is still to be read, not even its end.
   bool quiet() const;
   // Whether the peer has ended it and only its end is still to be read.
--- a/src/gate/station/station.cc
+++ b/src/gate/station/station.cc
@@ -106,7 +106,7 @@
           act(out);
         },
         true);
-  Result<void> done = connections->listen(plan.node.address);
+  Result<void> done = connections->listen(plan.mesh.empty() ? plan.node.address : plan.mesh);
   if (done && !plan.control.empty()) done = control_server->listen(plan.control);
   if (done && !plan.ready.empty()) done = ready_server->listen(plan.ready);
   if (done && !plan.front.empty()) done = relay->listen(plan.front);
--- a/src/gate/station/station.h
+++ b/src/gate/station/station.h
@@ -20,6 +20,7 @@
   std::string front;    // IP:port for callers; empty for none
   std::string ready;    // IP:port that tells whether new callers are wanted
   std::string control;  // IP:port for workers and operators
+  std::string mesh;     // IP:port to listen at for peers; empty: the address that peers are told
   std::string ready_path = "/ready";
   std::string data;  // the one data folder, empty for none
   std::string log;
