--- a/src/gate/station/station.h
+++ b/src/gate/station/station.h
@@ -62,12 +62,13 @@
               std::vector<std::pair<std::string, std::string>> const& fields = {});
   // Counts and logs how an operator's call was answered; 'call' names it.
   void note_order(std::string const& call, unsigned status, std::string const& why);
+  // What falls due with time; run() calls it twenty times a second.
+  void tick();
 
  private:
   void act(NodeOut& out);
   void on_call(Server::Call&& call);
   void on_ready(Server::Call&& call);
-  void tick();
   void look_stop(Micros now);
   std::string status() const;
   std::string metrics() const;
--- a/tests/control_plane.cc
+++ b/tests/control_plane.cc
@@ -168,4 +168,12 @@
   EXPECT_EQ(one.confirmations, two.confirmations);
 }
 
+// Losses may overlap beyond what is allowed: service rests, but nothing that was acknowledged is lost or shown older.
+TEST(ControlPlane, losses_beyond_what_is_allowed_of_three) { expect_clean("overlapping", 3, -1, 1, 6); }
+TEST(ControlPlane, losses_beyond_what_is_allowed_of_four) { expect_clean("overlapping", 4, -1, 1, 6); }
+TEST(ControlPlane, losses_beyond_what_is_allowed_of_eight) { expect_clean("overlapping", 8, -1, 1, 14); }
+TEST(ControlPlane, keepers_in_two_halves) {
+  for (std::size_t const disks : {3u, 4u, 8u}) expect_clean("halves", disks, -1, 1, 3);
+}
+
 }  // namespace pipit::control_plane
--- /dev/null
+++ b/tests/worker_ends.cc
@@ -0,0 +1,152 @@
+// The end of a worker is acknowledged for all nodes: a node that cannot tell the others says 503, and the worker calls
+// the next one. Two nodes on loopback, one of which can be made deaf.
+#include <gtest/gtest.h>
+
+#include "platform/control.h"
+#include "tests/loopback.h"
+
+namespace pipit::platform {
+
+namespace {
+constexpr char draining[] = "draining";
+constexpr char available[] = "available";
+
+// A peer: the product's core behind sockets, without callers or control.
+class PeerNode {
+ public:
+  PeerNode(std::string const& address, std::string const& seed) {
+    NodePlan plan;
+    plan.name = "n2";
+    plan.zone = "a";
+    plan.registered = true;
+    plan.address = address;
+    plan.seeds = {seed};
+    plan.chance = 5;
+    node = std::make_unique<Node>(plan, g_get_monotonic_time(), std::nullopt);
+    Connections::Callbacks callbacks;
+    callbacks.opened = [this](WireId id, bool outbound, std::string const& to) {
+      step([&](NodeOut& out) { node->opened(id, outbound, to, g_get_monotonic_time(), out); });
+    };
+    callbacks.shut = [this](WireId id) { step([&](NodeOut& out) { node->shut(id, g_get_monotonic_time(), out); }); };
+    callbacks.failed = [this](std::string const& to, bool refused) {
+      step([&](NodeOut& out) { node->dial_failed(to, refused, g_get_monotonic_time(), out); });
+    };
+    callbacks.frame = [this](WireId id, std::string_view frame) {
+      if (!deaf) step([&](NodeOut& out) { node->bytes(id, frame, g_get_monotonic_time(), out); });
+      return true;
+    };
+    connections = std::make_unique<Connections>(std::move(callbacks));
+    EXPECT_TRUE(connections->listen(address));
+    ticker = g_timeout_add(
+        20,
+        [](gpointer data) -> gboolean {
+          PeerNode& self = *static_cast<PeerNode*>(data);
+          if (!self.deaf) self.step([&](NodeOut& out) { self.node->tick(g_get_monotonic_time(), out); });
+          return G_SOURCE_CONTINUE;
+        },
+        this);
+  }
+  ~PeerNode() { g_source_remove(ticker); }
+
+  // Whether it knows that this worker leaves or is gone.
+  bool knows_end(std::string const& worker) const {
+    Instance const* const at = node->registry.find(worker);
+    return at != nullptr && at->standing != Standing::serving;
+  }
+  bool connected() const { return node->mesh.wires_open() > 0 && !node->mesh.members.peers.empty(); }
+
+  bool deaf = false;
+
+ private:
+  void step(std::function<void(NodeOut&)> const& act) {
+    NodeOut out;
+    act(out);
+    for (std::string const& to : out.mesh.dials) connections->dial(to);
+    for (Sends::Send& send : out.mesh.sends) connections->send(send.wire, send.bytes);
+    for (WireId const id : out.mesh.shuts) connections->shut(id);
+  }
+
+  std::unique_ptr<Node> node;
+  std::unique_ptr<Connections> connections;
+  unsigned ticker = 0;
+};
+
+class WorkerEnds : public testing::Test {
+ protected:
+  WorkerEnds() {
+    std::string const peer_address = free_address();
+    StationPlan plan;
+    plan.node.name = "n1";
+    plan.node.zone = "a";
+    plan.node.registered = true;
+    plan.node.address = free_address();
+    plan.node.seeds = {plan.node.address, peer_address};
+    plan.node.chance = 3;
+    plan.control = free_address();
+    address = plan.control;
+    peer = std::make_unique<PeerNode>(peer_address, plan.node.address);
+    station = std::make_unique<Station>(std::move(plan));
+    calls = std::make_unique<Calls>(*station, address);
+    station->on_control([this](Server::Call& call) { return calls->take(call); });
+    EXPECT_TRUE(station->open());
+    ticker = g_timeout_add(
+        20,
+        [](gpointer data) -> gboolean {
+          static_cast<WorkerEnds*>(data)->station->tick();
+          return G_SOURCE_CONTINUE;
+        },
+        this);
+    EXPECT_TRUE(until([this] { return peer->connected(); }));
+  }
+  ~WorkerEnds() override { g_source_remove(ticker); }
+
+  std::string post(std::string const& path, std::string const& body) {
+    Wire wire(address);
+    wire.send("POST " + path + " HTTP/1.1\r\nHost: n1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+              body);
+    EXPECT_TRUE(until([&wire] { return wire.shut || wire.got.find("\r\n\r\n") != std::string::npos; }));
+    return wire.got.substr(0, 12);
+  }
+  std::string beat(char const* state) {
+    return post("/Instances.Beat/i-1", R"({"service":"s","address":"127.0.0.1:9","zone":"a","slots":4,"state":")" +
+                                           std::string(state) + R"(","call_sequence":)" + std::to_string(++sequence) +
+                                           "}");
+  }
+  std::string leave() {
+    return post("/Instances.Leave/i-1", R"({"call_sequence":)" + std::to_string(++sequence) + "}");
+  }
+
+  std::string address;
+  std::unique_ptr<PeerNode> peer;
+  std::unique_ptr<Station> station;
+  std::unique_ptr<Calls> calls;
+  unsigned ticker = 0;
+  std::uint64_t sequence = 0;
+};
+}  // namespace
+
+TEST_F(WorkerEnds, what_is_acknowledged_is_known_to_the_others_by_then) {
+  EXPECT_EQ(beat(available), "HTTP/1.1 200");
+  EXPECT_EQ(beat(draining), "HTTP/1.1 200");
+  EXPECT_TRUE(peer->knows_end("i-1")) << "its requests would go on";
+}
+
+TEST_F(WorkerEnds, a_node_whose_peers_hear_nothing_acknowledges_no_draining) {
+  EXPECT_EQ(beat(available), "HTTP/1.1 200");
+  peer->deaf = true;
+  EXPECT_EQ(beat(draining), "HTTP/1.1 503") << "the worker is to tell the next node";
+  peer->deaf = false;
+  EXPECT_EQ(beat(draining), "HTTP/1.1 200");
+  EXPECT_TRUE(peer->knows_end("i-1"));
+}
+
+TEST_F(WorkerEnds, a_node_whose_peers_hear_nothing_acknowledges_no_farewell) {
+  EXPECT_EQ(beat(available), "HTTP/1.1 200");
+  peer->deaf = true;
+  EXPECT_EQ(leave(), "HTTP/1.1 503");
+  peer->deaf = false;
+  EXPECT_EQ(leave(), "HTTP/1.1 200");
+  EXPECT_TRUE(peer->knows_end("i-1"));
+}
+
+}  // namespace pipit::platform
