A set of keepers never shrinks below what the allowed loss of disks leaves a majority of

Class: a decision about what is durable made from who is reachable just now. Ruled out: lost syncs (record store, disks of the simulation kept what was synced), the joint change itself (each was complete; the checker's worlds hold), founding (the set had grown to seven after 2.8 s). Change: the floor is 2 x tolerated losses + 1 (tolerated_losses.machines of the settings), at least three, at most seven. Weighed: never shrinking at all (then members that left for good stay and the next allowed loss ends the majority); only members that said goodbye (an unplanned successor would stay too many). Looked for elsewhere: replacement takes one place in one change and never shrinks; growth waits for all members. Also: the event of a dismissal no longer says 'replace'.

--- a/src/core/duties.cc
+++ b/src/core/duties.cc
@@ -14,7 +14,8 @@
 constexpr Micros spare_seen = seconds(2);     // how lately a keeper must have answered to be given a place
 constexpr Micros founder_turn = seconds(1);   // how long each founder waits for the one before it
 constexpr std::size_t least_keepers = 3;      // a set of more than these may shrink
-constexpr std::size_t seeds_most = 3;         // that a node is given
+constexpr std::size_t most_keepers = 7;
+constexpr std::size_t seeds_most = 3;  // that a node is given
 constexpr Micros lost_seed_after = seconds(5);
 constexpr Micros unsure_for = seconds(1);  // how long a majority may show no newest value before copies are mended
 }  // namespace
@@ -108,7 +109,7 @@
     bool const stays = (state == State::alive || state == State::suspected) && !keeper_leaves(item.first);
     if (item.second.member.keeper && stays) ++all;
   }
-  std::size_t const most = std::min<std::size_t>(7, all);
+  std::size_t const most = std::min(most_keepers, all);
   return std::max<std::size_t>(1, most % 2 == 0 ? most - 1 : most);
 }
 
@@ -165,9 +166,13 @@
   return here >= keepers.size() / 2 + 1;
 }
 
+// So many members that a majority is left when as many disks are lost as are allowed: whoever is merely without power
+// comes back with what was acknowledged, so that nothing smaller may ever hold it alone.
+std::size_t Node::keepers_needed() const { return std::clamp(2 * plan.tolerated + 1, least_keepers, most_keepers); }
+
 // Whether the set has more members than are wanted: then one that is lost need not be replaced.
 bool Node::set_may_shrink() const {
-  return learner.membership().keepers.size() > std::max(least_keepers, keepers_wanted());
+  return learner.membership().keepers.size() > std::max(keepers_needed(), keepers_wanted());
 }
 
 // Whether every member answered the last poll. A set does not grow while one of them may be lost: with a dead member a
@@ -210,6 +215,14 @@
   return change;
 }
 
+namespace {
+std::string words_of(Change const& members) {
+  if (members.type == Change::Type::admit) return "admit " + members.keeper.name;
+  if (members.type == Change::Type::dismiss) return "dismiss " + members.keeper.name;
+  return "replace " + members.leaving.name + " by " + members.keeper.name;
+}
+}  // namespace
+
 // What this keeper, which holds the duty, has to do next; nothing when all is well.
 std::optional<Change> Node::duty_due(Micros now) {
   Change change;
@@ -217,9 +230,7 @@
   // A joint set that was left behind is completed by any change (docs/control.md).
   if (learner.membership().joint()) return change;
   if (std::optional<Change> members = member_change(now)) {
-    log_event(Event::keeper_swapped,
-              (members->type == Change::Type::admit ? "admit " : "replace " + members->leaving.name + " by ") +
-                  members->keeper.name + " epoch " + std::to_string(members->expected));
+    log_event(Event::keeper_swapped, words_of(*members) + " epoch " + std::to_string(members->expected));
     return members;
   }
   if (strike_due(now, change)) {
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -169,6 +169,7 @@
   std::optional<wire::KeeperT> lost_keeper(Micros now) const;
   bool majority_here(std::vector<wire::KeeperT> const& keepers, Micros now) const;
   bool members_answer(Micros now) const;
+  std::size_t keepers_needed() const;
   bool set_may_shrink() const;
   std::optional<Change> member_change(Micros now) const;
   std::optional<Change> duty_due(Micros now);
--- a/tests/register.cc
+++ b/tests/register.cc
@@ -448,6 +448,22 @@
   EXPECT_EQ(learner.sure, seconds(5));
 }
 
+// A member that was dark when it got its place holds nothing, and is a member all the same: with it the others are a
+// quorum, and whoever does not see that gives up what it could do.
+TEST(Learning, a_member_that_holds_nothing_yet_counts_for_what_a_quorum_knows) {
+  Cluster cluster(members_of(2, {"k1", "k2", "k3"}), {"k4"});
+  cluster.ask("p1", cluster.admit("k4", 2), {"k1", "k2", "k3"});
+  ASSERT_EQ(cluster.last("p1").type, Outcome::Type::chosen);
+  ASSERT_FALSE(cluster.acceptor("k4").held().formed);
+  Learner learner;
+  std::vector<OutgoingMessage> asks;
+  std::vector<OutgoingMessage> more;
+  learner.poll(seconds(5), {"k2", "k3", "k4"}, -1, asks);
+  for (OutgoingMessage const& ask : asks)
+    learner.take(ask.to, answer_of(cluster.acceptor(ask.to), *ask.body.AsPeek()), seconds(5), more);
+  EXPECT_EQ(learner.contact(), seconds(5)) << "three of four members answered";
+}
+
 // All lost their memory, and no two keepers show one ballot: a proposer begins with the newest set that was seen.
 TEST(Members, copies_that_differ_after_a_full_stop_are_read_without_a_known_set) {
   Cluster cluster(members_of(2, {"k1", "k2", "k3"}));
