Polls count a member that has accepted nothing yet

Its answers to polls were dropped, so that no poll saw a quorum where the others were just short of one; every reading and order was then given up at the next tick, though the register's own rounds counted it. Class: two views of who votes, in the learner and in the proposer. Change: an answer of a keeper that has accepted nothing is a vote for nothing. It counts only where the newest set names it with its disk; what was chosen before was accepted by a quorum that meets these voters, so the floor stays true. Copies that differ are now seen as well where one holds nothing, and repaired.

--- a/src/consensus/register/learner.cc
+++ b/src/consensus/register/learner.cc
@@ -125,11 +125,14 @@
     if (adopt(*ans.value, now)) return *ans.value;
     return std::nullopt;
   }
-  if (ans.req != req || !ans.formed) return std::nullopt;
+  if (ans.req != req) return std::nullopt;
   remember_members(ans);
+  // A keeper that has accepted nothing yet says so: no value was chosen with its help. It counts where a set names it
+  // with its disk, as a member that was dark when it got its place.
   Vote const vote{ans.ballot, ans.revision, ans.disk, ans.members};
   votes[from] = vote;
   look_floor();
+  if (!ans.formed) return std::nullopt;
   Membership const* const members = members_of(vote);
   if (members == nullptr || !members->quorum(holders(vote.ballot))) return std::nullopt;
   if (value && value->revision >= vote.revision) {
--- a/tests/control_plane.cc
+++ b/tests/control_plane.cc
@@ -172,6 +172,12 @@
 TEST(ControlPlane, losses_beyond_what_is_allowed_of_three) { expect_clean("overlapping", 3, -1, 1, 6); }
 TEST(ControlPlane, losses_beyond_what_is_allowed_of_four) { expect_clean("overlapping", 4, -1, 1, 6); }
 TEST(ControlPlane, losses_beyond_what_is_allowed_of_eight) { expect_clean("overlapping", 8, -1, 1, 14); }
+TEST(ControlPlane, a_member_that_was_dark_when_it_got_its_place_holds_no_recovery_up) {
+  expect_clean("overlapping", 8, -1, 43, 1);
+}
+TEST(ControlPlane, a_member_that_holds_nothing_reads_the_register_for_all) {
+  expect_clean("overlapping", 8, -1, 382, 1);
+}
 TEST(ControlPlane, keepers_in_two_halves) {
   for (std::size_t const disks : {3u, 4u, 8u}) expect_clean("halves", disks, -1, 1, 3);
 }
