A keeper that has accepted nothing still reads the register when others wait for it

Cause (F14): duties began with 'nothing without a formed acceptor'; but the keeper that proposes for all may be a member that got its place while it was dark. Change: only the lease needs a formed acceptor.

--- a/src/core/duties.cc
+++ b/src/core/duties.cc
@@ -247,9 +247,11 @@
 }
 
 void Node::duties(Micros now, NodeOut& out) {
-  if (!acceptor || !acceptor->held().formed) return;
+  if (!acceptor) return;
+  // A member that holds nothing yet gets no lease, but the others may wait for it to read the register.
+  bool const formed = acceptor->held().formed;
   std::vector<OutgoingMessage> outgoing;
-  if (!leaving) repair_lease.tick(now, learner.membership(), outgoing);
+  if (!leaving && formed) repair_lease.tick(now, learner.membership(), outgoing);
   dispatch(outgoing, now, out);
   bool const holds = repair_lease.holds(now);
   if (holds != had_duty) log_event(holds ? Event::lease_held : Event::lease_ended, "mend");
