The end of a worker is acknowledged once a quorum of keepers knows of it

A beat at such a node took the worker over, and the others lost it. Class: an acknowledgement given by one for all (a promise made before it is known beyond the process). Ruled out: entries lost on the way (they are resent until acked and relayed), restarted nodes (they learn entries at greetings, before they are ready). A node that hears neither a quorum nor half of the nodes says 503 to beats and takes nothing over. Looked for elsewhere: an operator's change is acknowledged by a quorum's sync and half of the nodes; a planned end of a keeper waits for its successor. Left: cached loads and kept parts bind nobody.

--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -390,6 +390,7 @@
   if (!from.empty()) deliver(from, frame.value()->body, now, out);
   if (!waiting.empty()) settle_waiting(now, out);
   settle_handed(now, out);
+  settle_ends(now, out);
   check_replies(out);
   return true;
 }
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -57,10 +57,17 @@
   Micros asked = 0;
 };
 
+// Whether the end of a worker may be acknowledged: the other nodes know of it.
+struct EndAnswer {
+  std::uint64_t id = 0;  // of the call
+  bool known = false;
+};
+
 struct NodeOut {
   Sends mesh;
   std::optional<wire::RecordT> save;
   std::vector<Reply> replies;
+  std::vector<EndAnswer> end_answers;
   DeskOut desk;
   DispatchOut dispatch;
   bool read_list = false;
@@ -96,7 +103,10 @@
   // Routed requests, and workers that register themselves (§12). An answer to a worker's word may be given at once.
   void request(std::uint64_t id, Query query, Micros now, NodeOut& out);
   void attempt_ended(std::uint64_t id, AttemptEnd end, bool elsewhere, Micros now, NodeOut& out);
-  void beat(Beat const& word, Micros now, NodeOut& out);
+  // False when this node cannot tell the others: the worker is to call another node, though its word counts here.
+  bool beat(Beat const& word, Micros now, NodeOut& out);
+  // Answers 'id' once it is settled whether the others know of the worker's end (docs/control.md, "Ends of workers").
+  void await_end(std::uint64_t id, std::string const& worker, Micros now, NodeOut& out);
   void beat_end(std::string const& id, std::uint64_t order, Micros now, NodeOut& out);
 
   // Errands.
@@ -194,6 +204,11 @@
   void send_text(std::string const& to, std::uint64_t req, Change const& change, NodeOut& out);
   void take_answer(std::string const& from, wire::ProposedT const& ans, Micros now, NodeOut& out);
   void settle_handed(Micros now, NodeOut& out);
+  void settle_ends(Micros now, NodeOut& out);
+  bool told_all_reached(std::string const& worker) const;
+  bool told_enough(std::string const& worker) const;
+  bool hears_others(Micros now) const;
+  void check_end(std::string const& worker) const;
   void propose(std::uint64_t id, Change change, Micros now, NodeOut& out);
   // Whether this node still hears a quorum of the keepers; without one it refuses operators at once (docs/control.md).
   bool quorum_heard(Micros now) const;
@@ -261,6 +276,11 @@
   bool duty_busy = false;
   bool had_duty = false;
   Micros repaired_at = -seconds(60);
+  struct WorkerEnd {  // that waits until the others know of it
+    std::string worker;
+    Micros due = 0;
+  };
+  std::map<std::uint64_t, WorkerEnd> worker_ends;
   struct OpenCall {  // of an operator, until it is answered
     Change::Type type = Change::Type::read;
     std::string change;
--- a/src/core/registered.cc
+++ b/src/core/registered.cc
@@ -17,11 +17,16 @@
   if (mesh.ledger.put(std::move(entry), now)) mesh.flush_entries(out.mesh);
 }
 
-void Node::beat(Beat const& word, Micros now, NodeOut& out) {
+bool Node::beat(Beat const& word, Micros now, NodeOut& out) {
   watch_clock(now);
+  bool const heard = hears_others(now);
+  // The others know the worker by another node, which goes on hearing it: nothing of that is taken over here, where
+  // nobody would hear of it.
+  if (!heard && !word.leaving && registry.hear(word, now)) return false;
   if (std::optional<wire::EntryT> entry = registry.beat(word, now)) put_entry(std::move(*entry), now, out);
   take_fresh(now);
   look_ready(now, out);
+  return heard;
 }
 
 void Node::beat_end(std::string const& id, std::uint64_t order, Micros now, NodeOut& out) {
@@ -143,6 +148,7 @@
   }
   for (wire::EntryT& entry : registry.silent(now)) put_entry(std::move(entry), now, out);
   take_fresh(now);
+  settle_ends(now, out);
   dispatcher.nodes(passages(true).size(), mesh.wide());
   look_ready(now, out);
   dispatcher.tick(now, out.dispatch);
--- /dev/null
+++ b/src/core/worker_ends.cc
@@ -0,0 +1,91 @@
+// Words of workers that bind all nodes: when their end may be acknowledged, and whether a beat may be
+// (docs/control.md, "Ends of workers").
+#include <algorithm>
+
+#include "base/invariants.h"
+#include "core/node.h"
+
+namespace pipit {
+
+namespace {
+constexpr Micros told_within = millis(600);  // a worker waits a second for its answer
+}  // namespace
+
+// Whether this node reaches a quorum of the keepers, or at least half of the nodes that may be there.
+bool Node::hears_others(Micros now) const {
+  if (quorum_heard(now)) return true;
+  std::size_t all = 1;
+  std::size_t reached = 1;
+  for (std::pair<std::string const, Peer> const& item : mesh.members.peers) {
+    if (mesh.gone(item.first)) continue;
+    ++all;
+    if (item.second.wire != 0) ++reached;
+  }
+  return reached * 2 >= all;
+}
+
+// Whether every peer that is reached has the entry.
+bool Node::told_all_reached(std::string const& worker) const {
+  return std::all_of(mesh.members.peers.begin(), mesh.members.peers.end(),
+                     [&](std::pair<std::string const, Peer> const& item) {
+                       bool const reached = item.second.wire != 0 && item.second.state() == State::alive;
+                       return !reached || mesh.ledger.told(item.first, worker);
+                     });
+}
+
+// Whether so many have the entry that it reaches every node which others reach: a quorum of the keepers, who pass it
+// on; where no set is known yet, more than half of all nodes.
+bool Node::told_enough(std::string const& worker) const {
+  Membership const& members = learner.membership();
+  if (members.empty()) {
+    std::size_t all = 1;
+    std::size_t told = 1;
+    for (std::pair<std::string const, Peer> const& item : mesh.members.peers) {
+      if (mesh.gone(item.first)) continue;
+      ++all;
+      if (mesh.ledger.told(item.first, worker)) ++told;
+    }
+    return told * 2 > all;
+  }
+  Voters told;
+  for (std::vector<wire::KeeperT> const* const part : {&members.keepers, &members.former})
+    for (wire::KeeperT const& keeper : *part)
+      if (keeper.name == plan.name || mesh.ledger.told(keeper.name, worker)) told[keeper.name] = keeper.disk;
+  return members.quorum(told);
+}
+
+void Node::await_end(std::uint64_t id, std::string const& worker, Micros now, NodeOut& out) {
+  worker_ends[id] = WorkerEnd{worker, now + told_within};
+  settle_ends(now, out);
+}
+
+void Node::settle_ends(Micros now, NodeOut& out) {
+  for (std::map<std::uint64_t, WorkerEnd>::iterator it = worker_ends.begin(); it != worker_ends.end();) {
+    WorkerEnd const& end = it->second;
+    bool const enough = told_enough(end.worker);
+    bool const known = enough && told_all_reached(end.worker);
+    if (!known && now < end.due) {
+      ++it;
+      continue;
+    }
+    if (enough) check_end(end.worker);
+    out.end_answers.push_back(EndAnswer{it->first, enough});
+    it = worker_ends.erase(it);
+  }
+}
+
+// Somebody else has it, or there is nobody else.
+void Node::check_end(std::string const& worker) const {
+  bool alone = true;
+  bool told = false;
+  for (std::pair<std::string const, Peer> const& item : mesh.members.peers) {
+    alone = alone && mesh.gone(item.first);
+    told = told || mesh.ledger.told(item.first, worker);
+  }
+  check_invariant(alone || told, Invariant::end_is_known, [&] {
+    return worker + ", " + std::to_string(mesh.members.peers.size()) + " peers, " + std::to_string(mesh.wires_open()) +
+           " connections";
+  });
+}
+
+}  // namespace pipit
--- a/src/flow/registry/registry.cc
+++ b/src/flow/registry/registry.cc
@@ -81,6 +81,13 @@
   return entry_of(item);
 }
 
+bool Registry::hear(Beat const& word, Micros now) {
+  Instance* const item = find(word.id);
+  if (item == nullptr || item->owner == self) return false;
+  if (word.order >= item->order) item->last_byte = now;
+  return true;
+}
+
 std::optional<wire::EntryT> Registry::leave(std::string const& id, std::uint64_t order, Micros now) {
   Instance* const item = find(id);
   if (item == nullptr) return std::nullopt;
--- a/src/flow/registry/registry.h
+++ b/src/flow/registry/registry.h
@@ -70,6 +70,8 @@
 
   // A worker called here. The entry to be written, when its word says something new.
   std::optional<wire::EntryT> beat(Beat const& word, Micros now);
+  // A word that a worker is to say elsewhere too: a known one is there, and nothing else changes. False for others.
+  bool hear(Beat const& word, Micros now);
   std::optional<wire::EntryT> leave(std::string const& id, std::uint64_t order, Micros now);
   // An entry that the ledger took from a peer. What this node must say against it, when it knows better.
   std::optional<wire::EntryT> take_entry(wire::EntryT const& entry, Micros now);
--- a/src/gate/station/station.cc
+++ b/src/gate/station/station.cc
@@ -128,15 +128,32 @@
     asked.erase(spot);
     done(item);
   }
+  std::vector<EndAnswer> const end_answers = std::move(out.end_answers);
+  for (EndAnswer const& item : end_answers) {
+    std::map<std::uint64_t, EndDone>::iterator const spot = ends_asked.find(item.id);
+    if (spot == ends_asked.end()) continue;
+    EndDone const done = std::move(spot->second);
+    ends_asked.erase(spot);
+    done(item.known);
+  }
   if (limits_of != node->dispatcher.description()) {
     limits_of = node->dispatcher.description();
     relay->limits(limits_of->limits);
   }
 }
 
-void Station::beat(Beat const& word) {
+bool Station::beat(Beat const& word) {
+  NodeOut out;
+  bool const heard = node->beat(word, now(), out);
+  act(out);
+  return heard;
+}
+
+void Station::await_end(std::string const& worker, EndDone done) {
+  std::uint64_t const id = ++next_ask;
+  ends_asked.emplace(id, std::move(done));
   NodeOut out;
-  node->beat(word, now(), out);
+  node->await_end(id, worker, now(), out);
   act(out);
 }
 
@@ -214,7 +231,7 @@
   // What a slow caller has not taken yet would end with the process too. A keeper stays until another one has its
   // place, where one is here to take it.
   bool const finished = relay->server.calls() == 0 && relay->server.finishing() == 0;
-  bool const idle = finished && asked.empty() && node->may_end(at);
+  bool const idle = finished && asked.empty() && ends_asked.empty() && node->may_end(at);
   if (idle || span >= plan.grace - last_moment) g_main_loop_quit(loop);
 }
 
--- a/src/gate/station/station.h
+++ b/src/gate/station/station.h
@@ -48,7 +48,11 @@
   // Called on SIGHUP and every other second.
   void on_look(Look look_) { look = std::move(look_); }
 
-  void beat(Beat const& word);
+  using EndDone = std::function<void(bool known)>;
+  // False when this node cannot tell the others of the worker.
+  bool beat(Beat const& word);
+  // Says whether the end of a worker, of which beat() or beat_end() was told, is known to the others.
+  void await_end(std::string const& worker, EndDone done);
   // False when no worker of that name is known here.
   bool beat_end(std::string const& id, std::uint64_t order);
   void operate(Change change, Done done);
@@ -84,6 +88,7 @@
   Control control;
   Look look;
   std::map<std::uint64_t, Done> asked;
+  std::map<std::uint64_t, EndDone> ends_asked;
   std::uint64_t next_ask = 0;
   std::map<std::string, std::uint64_t> order_answers;  // of operators, by status
   std::shared_ptr<Description const> limits_of;
--- a/src/mesh/ledger/ledger.cc
+++ b/src/mesh/ledger/ledger.cc
@@ -106,6 +106,11 @@
   debt.flying.erase(fly);
 }
 
+bool Ledger::told(std::string const& peer, std::string const& key) const {
+  std::map<std::string, Debt>::const_iterator const spot = owed.find(peer);
+  return spot != owed.end() && items.count(key) > 0 && spot->second.keys.count(key) == 0;
+}
+
 std::uint64_t Ledger::digest() const {
   std::uint64_t out = 0;
   for (std::pair<std::string const, wire::EntryT> const& item : items)
--- a/src/mesh/ledger/ledger.h
+++ b/src/mesh/ledger/ledger.h
@@ -34,6 +34,8 @@
   // The next batch for the peer: what was never sent to it, and with 'again' also what it has not acked.
   wire::EntriesT batch(std::string const& peer, bool again);
   void acked(std::string const& peer, std::uint64_t batch);
+  // Whether the peer holds what is said here of an entry: it acked it, or said it itself.
+  bool told(std::string const& peer, std::string const& key) const;
   void forget(Micros now, Micros age);
   // One number for all entries: equal where two nodes hold the same (§3.6).
   std::uint64_t digest() const;
--- a/tests/wide.cc
+++ b/tests/wide.cc
@@ -323,4 +323,26 @@
   }
 }
 
+// Its workers would be gone for all others, who hear of them from their owners alone.
+TEST(Beats, a_node_that_hears_nobody_takes_no_worker_over) {
+  Field field(6, 3, 3);
+  field.run(seconds(5));
+  field.configure(1);
+  field.run(seconds(3));
+  field.beat(1, word_of("w", 1));
+  field.run(millis(300));
+  ASSERT_EQ(field.nodes[5]->registry.find("w")->owner, field.nodes[1]->plan.name);
+  field.mute = 5;
+  for (std::uint64_t order = 2; order < 6; ++order) {
+    field.run(seconds(1));
+    field.beat(1, word_of("w", order));
+  }
+  NodeOut out;
+  EXPECT_FALSE(field.nodes[5]->beat(word_of("w", 6), field.now, out)) << "the worker is to call the next node";
+  EXPECT_EQ(field.nodes[5]->registry.find("w")->owner, field.nodes[1]->plan.name);
+  EXPECT_EQ(field.nodes[5]->registry.find("w")->standing, Standing::serving) << "its own callers are served on";
+  NodeOut other;
+  EXPECT_TRUE(field.nodes[2]->beat(word_of("w", 7), field.now, other));
+}
+
 }  // namespace pipit
