--- a/tests/dispatcher.cc
+++ b/tests/dispatcher.cc
@@ -189,6 +189,42 @@
   EXPECT_TRUE(free_of_work());
 }
 
+// What the parts of a route get is looked at over a few hundred requests, wherever they come in.
+TEST(Shares, hold_over_few_requests_at_many_nodes) {
+  struct OneNode {
+    explicit OneNode(std::string const& name)
+        : registry(name), exchange(name), dispatcher(name, "a", index_sync, registry, exchange) {
+      dispatcher.in_force(compiled_description(
+          route_text("even", "", "{\"pool\":\"p\",\"weight\":1},{\"pool\":\"q\",\"weight\":1}") + "," +
+          route_text("tenth", "", "{\"pool\":\"p\",\"weight\":90},{\"pool\":\"q\",\"weight\":10}")));
+      registry.beat(beat_of("v", 1, "p"), 0);
+      registry.beat(beat_of("w", 1, "q"), 0);
+    }
+    IndexSync index_sync{1};
+    Registry registry;
+    Exchange exchange;
+    Dispatcher dispatcher;
+  };
+  RandomSource random(5);
+  std::uint64_t id = 0;
+  for (std::size_t const nodes : {9u, 72u}) {
+    std::vector<std::unique_ptr<OneNode>> all;
+    for (std::size_t n = 0; n < nodes; ++n) all.push_back(std::make_unique<OneNode>("n" + std::to_string(n)));
+    for (int trial = 0; trial < 20; ++trial)
+      for (std::pair<char const*, double> const& route : {std::make_pair("even", 0.5), std::make_pair("tenth", 0.1)}) {
+        constexpr int requests = 300;
+        int second = 0;
+        for (int n = 0; n < requests; ++n) {
+          DispatchOut out;
+          all[random.below(nodes)]->dispatcher.fresh(++id, query_of(route.first), 1000, out);
+          ASSERT_EQ(out.starts.size(), 1u);
+          second += out.starts[0].instance == "w" ? 1 : 0;
+        }
+        EXPECT_NEAR(static_cast<double>(second) / requests, route.second, 0.04) << nodes << " nodes, " << route.first;
+      }
+  }
+}
+
 TEST_F(Desks, only_workers_of_the_pool_that_take_requests_are_chosen) {
   worker("other", "q");
   worker("ending");
