Parts of a route take turns by what they are owed

Class: a promise of an expectation kept only in the long run. Ruled out: nodes in step (the hash has the node's name in it). Change: parts take turns; each node begins at another place of its turns. Weighed: turns told among nodes (talk for nothing: 72 nodes hold 0.04 over 300 requests without). Looked for elsewhere: nothing else is drawn for a promised share.

--- a/proof/stage/worker_troubles.cc
+++ b/proof/stage/worker_troubles.cc
@@ -77,7 +77,10 @@
       after(millis(500), [this, zone] {
         if (!over) open(zone, shape.service, next_ip());
       });
-      after(unheard_end + seconds(1), [this, ip, zone] { reuse(ip, zone); });
+      // Whom nobody has acknowledged yet may still serve there.
+      after(unheard_end + seconds(1), [this, worker, ip, zone] {
+        if (worker->state == State::ended) reuse(ip, zone);
+      });
     });
     when += trouble.gap;
   }
--- a/src/flow/dispatch/dispatcher.cc
+++ b/src/flow/dispatch/dispatcher.cc
@@ -171,16 +171,7 @@
   if (rules->routes.empty()) return deny(request, Kind::not_ready, millis(300), now, out);
   request.route = rules->route(request.query.host, request.query.path);
   if (request.route == nullptr) return deny(request, Kind::not_found, 0, now, out);
-  std::int64_t sum = 0;
-  for (Route::Share const& share : request.route->shares) sum += share.weight;
-  std::int64_t spot = static_cast<std::int64_t>(hash_bits(++turn ^ hash_text(self)) % static_cast<std::uint64_t>(sum));
-  for (Route::Share const& share : request.route->shares) {
-    if (spot < share.weight) {
-      request.pool = rules->pool(share.pool);
-      break;
-    }
-    spot -= share.weight;
-  }
+  request.pool = rules->pool(share_turns.next(*request.route).pool);
   if (request.pool == nullptr) return deny(request, Kind::no_worker, millis(500), now, out);
   request.repeatable = request.route->repeatable || (request.route->streams && request.route->resumable);
   request.tree = request.pool->name + "/" + request.query.model;
--- a/src/flow/dispatch/dispatcher.h
+++ b/src/flow/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include "base/kinds.h"
 #include "config/description/description.h"
 #include "flow/dispatch/fate.h"
+#include "flow/dispatch/share_turns.h"
 #include "flow/exchange/exchange.h"
 #include "flow/index/index_sync.h"
 #include "flow/registry/registry.h"
@@ -103,7 +104,8 @@
         zone(std::move(zone_)),
         index_sync(index_sync_),
         registry(registry_),
-        exchange(exchange_) {}
+        exchange(exchange_),
+        share_turns(self) {}
 
   void in_force(std::shared_ptr<Description const> rules_) { rules = std::move(rules_); }
   void hold(bool held_) { held = held_; }
@@ -199,7 +201,7 @@
   double resend_store = 4;
   std::size_t node_count = 1;
   bool wide = false;  // so many nodes that kept parts are told only where nobody would guess them (§12.7)
-  std::uint64_t turn = 0;
+  ShareTurns share_turns;
   Micros born = -seconds(3600);
   Micros last_tick = -1;
   std::map<std::uint64_t, std::unique_ptr<Request>> requests;
