--- a/src/gate/station/station.cc
+++ b/src/gate/station/station.cc
@@ -24,6 +24,7 @@
   relay.reset();
   control_server.reset();
   ready_server.reset();
+  metrics_server.reset();
   connections.reset();
   disk.reset();
   g_main_loop_unref(loop);
@@ -97,6 +98,8 @@
   ready_server = std::make_unique<Server>(
       Server::Callbacks{[this](Server::Call&& call) { on_ready(std::move(call)); }, [](std::uint64_t) {}});
 
+  metrics_server = std::make_unique<Server>(
+      Server::Callbacks{[this](Server::Call&& call) { on_metrics(std::move(call)); }, [](std::uint64_t) {}});
   if (ring)
     disk = std::make_unique<DiskTask>(
         std::move(posix), std::move(ring),
@@ -109,6 +112,7 @@
   Result<void> done = connections->listen(plan.mesh.empty() ? plan.node.address : plan.mesh);
   if (done && !plan.control.empty()) done = control_server->listen(plan.control);
   if (done && !plan.ready.empty()) done = ready_server->listen(plan.ready);
+  if (done && !plan.metrics.empty()) done = metrics_server->listen(plan.metrics);
   if (done && !plan.front.empty()) done = relay->listen(plan.front);
   return done;
 }
@@ -196,6 +200,14 @@
   ready_server->answer(call.id, head, "");
 }
 
+void Station::on_metrics(Server::Call&& call) {
+  bool const path = call.head.method == "GET" && call.head.target == "/metrics";
+  Head head;
+  head.status = path ? 200 : 404;
+  head.fields.emplace_back("Content-Type", "text/plain; version=0.0.4");
+  metrics_server->answer(call.id, head, path ? metrics() : "");
+}
+
 void Station::on_call(Server::Call&& call) {
   std::uint64_t const id = call.id;
   if (control && control(call)) return;
@@ -245,6 +257,7 @@
     relay->sweep(at);
     control_server->sweep(at);
     ready_server->sweep(at);
+    metrics_server->sweep(at);
   }
   if (look && at >= next_look) {
     next_look = at + seconds(2);
--- a/src/gate/station/station.h
+++ b/src/gate/station/station.h
@@ -20,6 +20,7 @@
   std::string front;    // IP:port for callers; empty for none
   std::string ready;    // IP:port that tells whether new callers are wanted
   std::string control;  // IP:port for workers and operators
+  std::string metrics;  // IP:port where anybody may fetch the metrics; empty for none
   std::string mesh;     // IP:port to listen at for peers; empty: the address that peers are told
   std::string ready_path = "/ready";
   std::string data;  // the one data folder, empty for none
@@ -73,6 +74,7 @@
   void act(NodeOut& out);
   void on_call(Server::Call&& call);
   void on_ready(Server::Call&& call);
+  void on_metrics(Server::Call&& call);
   void look_stop(Micros now);
   std::string status() const;
   std::string metrics() const;
@@ -84,6 +86,7 @@
   std::unique_ptr<Relay> relay;
   std::unique_ptr<Server> control_server;
   std::unique_ptr<Server> ready_server;
+  std::unique_ptr<Server> metrics_server;
   std::unique_ptr<DiskTask> disk;
   Control control;
   Look look;
