--- a/proof/stage/nodes.cc
+++ b/proof/stage/nodes.cc
@@ -193,6 +193,34 @@
   unplanned(until);
 }
 
+void Nodes::look_at_metrics(std::function<void()> done) {
+  std::shared_ptr<std::size_t> const open = std::make_shared<std::size_t>(1);
+  std::function<void()> const one_less = [open, done] {
+    if (--*open == 0) done();
+  };
+  for (std::unique_ptr<Node> const& node : all) {
+    if (node->pid <= 0 || node->frozen) continue;
+    ++*open;
+    std::string const address = at_port(node->ip, metrics_port);
+    metric_lines.push_back(Line::dial(address, "127." + std::to_string(plan.net) + ".5.2", seconds(1)));
+    std::shared_ptr<std::string> const text = std::make_shared<std::string>();
+    Line::Callbacks callbacks;
+    callbacks.body = [text](std::string_view bytes) { text->append(bytes); };
+    callbacks.end = [this, text, one_less, name = node->name](Line::End) {
+      std::istringstream lines(*text);
+      std::string line;
+      while (std::getline(lines, line))
+        if (line.rfind("pipit_invariant_violations_total{", 0) == 0 && !line.ends_with(" 0"))
+          judge.broken(Promise::invariant, name + ": " + line);
+      if (!text->empty()) ++metrics_read;
+      one_less();
+    };
+    metric_lines.back()->ask(request_of("GET", "/metrics", address, "Connection: close\r\n", ""), std::move(callbacks),
+                             seconds(2));
+  }
+  one_less();
+}
+
 void Nodes::look_at_logs() {
   for (std::unique_ptr<Node> const& node : all) {
     std::ifstream file(node->log);
--- a/proof/stage/nodes.h
+++ b/proof/stage/nodes.h
@@ -3,6 +3,8 @@
 #include <sys/types.h>
 
 #include <algorithm>
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -57,6 +59,7 @@
 constexpr unsigned control_port = 8262;
 constexpr unsigned ready_port = 8268;
 constexpr unsigned mesh_port = 7300;
+constexpr unsigned metrics_port = 9464;
 
 class Nodes {
  public:
@@ -79,6 +82,8 @@
   std::string public_address(std::string const& address) const;
   // The first lines of its logs that tell of a violated invariant.
   void look_at_logs();
+  // The same of the metrics of those that run; 'done' once all have answered, or could not.
+  void look_at_metrics(std::function<void()> done);
   // Told to end, and ended at last; true once none is there any more.
   void end_all();
   bool all_gone() const;
@@ -107,6 +112,7 @@
   std::uint64_t mesh_bytes_across = 0;
   std::uint64_t polls = 0;  // of nodes in touch
   std::uint64_t polls_unready = 0;
+  std::uint64_t metrics_read = 0;
 
  private:
   Node& add(std::string const& zone, bool core, bool seed);
@@ -124,6 +130,7 @@
   std::map<pid_t, Micros> back;  // processes that are being ended, and when they start again; -1 for never
   bool ending = false;
   int last_number = 0;
+  std::deque<std::shared_ptr<Line>> metric_lines;
   std::map<std::string, std::string> public_of;  // by private IP number
   Micros next_sample = 0;
   Micros last_held_up = -seconds(3600);
--- a/proof/stage/stage.cc
+++ b/proof/stage/stage.cc
@@ -106,6 +106,9 @@
   operators.read_back(seconds(3), [&read] { read = true; });
   if (!until(seconds(16), [&read] { return read; })) judge.broken(Promise::config_lost, "reading back never ended");
   operators.stop_reading();
+  bool told = false;
+  nodes.look_at_metrics([&told] { told = true; });
+  until(seconds(3), [&told] { return told; });
   nodes.sample();
   workers.quiet();
   nodes.end_all();
@@ -396,6 +399,7 @@
   out.put("configuration races", static_cast<double>(o.races));
   out.put("configurations invalid", static_cast<double>(o.invalid));
   out.put("configuration checks at nodes", static_cast<double>(o.checks));
+  out.put("metrics read", static_cast<double>(nodes.metrics_read));
   out.put("configuration readings at any node", static_cast<double>(o.readings));
   out.put("failed requests looked for in logs", static_cast<double>(callers.failed.size()));
   if (relay) {
--- a/src/gate/station/station.cc
+++ b/src/gate/station/station.cc
@@ -112,7 +112,10 @@
   Result<void> done = connections->listen(plan.mesh.empty() ? plan.node.address : plan.mesh);
   if (done && !plan.control.empty()) done = control_server->listen(plan.control);
   if (done && !plan.ready.empty()) done = ready_server->listen(plan.ready);
-  if (done && !plan.metrics.empty()) done = metrics_server->listen(plan.metrics);
+  // A node without its metrics still serves: somebody else may listen there.
+  if (done && !plan.metrics.empty())
+    if (Result<void> const told = metrics_server->listen(plan.metrics); !told)
+      log_event(Event::metrics_untold, told.error().why);
   if (done && !plan.front.empty()) done = relay->listen(plan.front);
   return done;
 }
--- a/tests/platform.cc
+++ b/tests/platform.cc
@@ -3,7 +3,9 @@
 
 #include <simdjson.h>
 
+#include <fstream>
 #include <map>
+#include <sstream>
 
 #include "config/description/description.h"
 #include "consensus/register/orders.h"
@@ -11,6 +13,7 @@
 #include "platform/amend.h"
 #include "platform/description.h"
 #include "platform/settings.h"
+#include "platform/words.h"
 
 namespace pipit::platform {
 
@@ -91,6 +94,18 @@
   EXPECT_TRUE(plan_from(fields).value().node.keeper);
 }
 
+// The platform reads the port in the deploy file, the process listens at the one in its words.
+TEST(Settings, metrics_are_where_the_deploy_file_says) {
+  std::ifstream file(std::string(SOURCE) + "/deploy/system.toml");
+  std::stringstream deploy;
+  deploy << file.rdbuf();
+  std::string const line = "metrics = \"" + std::to_string(metrics_port) + "/metrics\"";
+  EXPECT_NE(deploy.str().find(line), std::string::npos) << line;
+  Result<StationPlan> const plan = plan_from(good_fields());
+  ASSERT_TRUE(plan);
+  EXPECT_EQ(plan.value().metrics, "127.0.0.1:" + std::to_string(metrics_port));
+}
+
 TEST(Settings, comments_empty_lines_and_line_ends_of_either_kind_are_taken) {
   Result<SettingsFile> const file = SettingsFile::parse("# a comment\r\n\r\nzone=a b \r\nlist=x,,y\nempty=\nsum=1=2");
   ASSERT_TRUE(file);
--- a/tests/station.cc
+++ b/tests/station.cc
@@ -17,7 +17,9 @@
     plan.node.address = free_address();
     plan.node.seeds = {plan.node.address};
     plan.control = free_address();
+    plan.metrics = free_address();
     address = plan.control;
+    metrics = plan.metrics;
     station = std::make_unique<Station>(std::move(plan));
     calls = std::make_unique<Calls>(*station, address);
     station->on_control([this](Server::Call& call) { return calls->take(call); });
@@ -38,6 +40,7 @@
   }
 
   std::string address;
+  std::string metrics;
   std::unique_ptr<Station> station;
   std::unique_ptr<Calls> calls;
 };
@@ -54,4 +57,15 @@
   EXPECT_EQ(post("/Instances.Leave/i-2", bye), "HTTP/1.1 503");
 }
 
+TEST_F(ControlAddress, metrics_are_told_at_an_address_of_their_own) {
+  Wire wire(metrics);
+  wire.send("GET /metrics HTTP/1.1\r\nHost: n1\r\nConnection: close\r\n\r\n");
+  EXPECT_TRUE(until([&wire] { return wire.shut; }));
+  EXPECT_EQ(wire.got.substr(0, 12), "HTTP/1.1 200");
+  for (char const* const row :
+       {"pipit_asked_total 0\n", "pipit_peers{state=\"down\"} 0\n", "pipit_quorum_heard_ms_ago 0\n",
+        "pipit_invariant_violations_total{invariant=\"agreement\"} 0\n"})
+    EXPECT_NE(wire.got.find(row), std::string::npos) << row;
+}
+
 }  // namespace pipit::platform
--- a/tests/wide.cc
+++ b/tests/wide.cc
@@ -47,7 +47,7 @@
         Mail const item = std::move(mail.front());
         mail.pop_front();
         now = std::max(now, item.due);
-        if (!ends.count(item.wire) || item.to == mute) continue;
+        if (!ends.count(item.wire) || item.to == mute || removed.count(item.to) > 0) continue;
         ++frames;
         bytes += item.bytes.size();
         NodeOut out;
@@ -56,6 +56,7 @@
       }
       now = next;
       for (std::size_t i = 0; i < nodes.size(); ++i) {
+        if (removed.count(i) > 0) continue;
         NodeOut out;
         nodes[i]->tick(now, out);
         act(i, out);
@@ -89,6 +90,15 @@
     act(node, out);
   }
 
+  // The process of a node ends, and its address refuses.
+  void remove(std::size_t node) {
+    removed.insert(node);
+    std::vector<WireId> open;
+    for (std::pair<WireId const, std::pair<std::size_t, std::size_t>> const& item : ends)
+      if (item.second.first == node || item.second.second == node) open.push_back(item.first);
+    for (WireId const id : open) shut(id, node);
+  }
+
   Micros now = seconds(10);
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<std::vector<Reply>> replies;
@@ -118,7 +128,7 @@
   void dial(std::size_t from, std::string const& address) {
     std::map<std::string, std::size_t>::const_iterator const to = at.find(address);
     NodeOut out;
-    if (to == at.end()) {
+    if (to == at.end() || removed.count(to->second) > 0) {
       nodes[from]->dial_failed(address, true, now, out);
       return act(from, out);
     }
@@ -143,6 +153,7 @@
     }
   }
 
+  std::set<std::size_t> removed;
   std::map<std::string, std::size_t> at;
   std::map<WireId, std::pair<std::size_t, std::size_t>> ends;
   std::deque<Mail> mail;
@@ -345,4 +356,28 @@
   EXPECT_TRUE(field.nodes[2]->beat(word_of("w", 7), field.now, other));
 }
 
+// A worker and the node that heard it are lost together: nobody else counts its beats, and requests went there for
+// good.
+TEST(Beats, a_worker_whose_owner_is_gone_for_good_falls_silent_for_all) {
+  for (std::size_t const count : {6u, 30u}) {
+    Field field(count, 3, 3);
+    field.run(seconds(6));
+    field.configure(1);
+    field.run(seconds(3));
+    field.beat(4, word_of("lost", 1));
+    field.beat(4, word_of("here", 1));
+    field.run(millis(300));
+    field.remove(4);
+    for (std::uint64_t order = 2; order < 26; ++order) {
+      field.run(seconds(1));
+      field.beat(1, word_of("here", order));
+    }
+    for (std::size_t n = 0; n < count; ++n) {
+      if (n == 4) continue;
+      EXPECT_EQ(field.nodes[n]->registry.find("lost")->standing, Standing::gone) << n << " of " << count;
+      EXPECT_EQ(field.nodes[n]->registry.find("here")->standing, Standing::serving) << n << " of " << count;
+    }
+  }
+}
+
 }  // namespace pipit
