A worker whose owner is gone is taken over by another node

Class: a duty of one process without a successor. Ruled out: reconcile (it restores, never ends), doubts (a doubt of somebody who is not the owner only shuns for 5 s). Change: the first live node in the worker's rendezvous order takes it over once its owner has been gone for two beats; three silent beats end it there. Only who hears a quorum or half of the nodes does so. Weighed: each node ends it for itself (a cut-off node would end all workers for all, once it is back). Looked for elsewhere: duties of the keepers hang on a lease, hubs on who is reached; index pulls on any live peer.

--- a/src/core/node.h
+++ b/src/core/node.h
@@ -188,6 +188,7 @@
   std::size_t keepers_wanted() const;
   void tick_registered(Micros now, std::vector<OutgoingMessage>& outgoing, NodeOut& out);
   void put_entry(wire::EntryT entry, Micros now, NodeOut& out);
+  void adopt_workers(Micros now, NodeOut& out);
   void exchange_now(Micros now, NodeOut& out);
   Paths paths() const;
   std::string hub_of(std::string const& zone) const;
@@ -245,6 +246,7 @@
   Micros next_list = 0;
   Micros next_round = 0;
   Micros next_reconcile = 0;
+  Micros next_adoption = 0;
   Micros next_loads = 0;
   Micros loads_told = 0;
   std::string loads_last;
--- a/src/core/registered.cc
+++ b/src/core/registered.cc
@@ -11,6 +11,8 @@
 constexpr Micros poll_gap = millis(500);
 constexpr Micros poll_wide = seconds(1);
 constexpr Micros poll_rare = seconds(3);  // where pings bring news of revisions already
+constexpr Micros adopt_gap = seconds(1);
+constexpr Micros strange_owner = seconds(10);  // longer than a node needs to meet all others
 }  // namespace
 
 void Node::put_entry(wire::EntryT entry, Micros now, NodeOut& out) {
@@ -128,6 +130,27 @@
   return acceptor ? poll_wide : poll_rare;
 }
 
+// A worker whose owner is gone would stay for good if it is lost too: the first of the nodes that are there, in the
+// worker's rendezvous order, takes it over, and ends it if it says nothing there either. One that is alive calls
+// another node meanwhile, which owns it by then. Whoever hears too few others takes nothing over: it may be the one
+// that is gone.
+void Node::adopt_workers(Micros now, NodeOut& out) {
+  next_adoption = now + adopt_gap;
+  if (leaving || !hears_others(now)) return;
+  std::set<std::string> const here = passages(false);
+  for (std::pair<std::string const, Instance> const& item : registry.all) {
+    Instance const& at = item.second;
+    if (at.standing == Standing::gone || here.count(at.owner) > 0) continue;
+    std::map<std::string, Peer>::const_iterator const owner = mesh.members.peers.find(at.owner);
+    bool const met = owner != mesh.members.peers.end();
+    // A node that is new has not met everybody yet.
+    Micros const gone_for = met ? now - owner->second.since : now - std::max(born, at.known) - strange_owner;
+    if (gone_for < plan.beat_gap * 2) continue;
+    if (rendezvous(item.first, here) != plan.name) continue;
+    put_entry(registry.adopt(item.first, now), now, out);
+  }
+}
+
 void Node::tick_registered(Micros now, std::vector<OutgoingMessage>& outgoing, NodeOut& out) {
   Paths const ways = paths();
   // §12.7: an owner tells every peer itself; a hub tells its zone besides, for pairs that have no connection.
@@ -147,6 +170,7 @@
       if (registry.find(item.first) == nullptr) registry.take_entry(item.second, now);
   }
   for (wire::EntryT& entry : registry.silent(now)) put_entry(std::move(entry), now, out);
+  if (now >= next_adoption) adopt_workers(now, out);
   take_fresh(now);
   settle_ends(now, out);
   dispatcher.nodes(passages(true).size(), mesh.wide());
--- a/src/flow/registry/registry.cc
+++ b/src/flow/registry/registry.cc
@@ -97,6 +97,13 @@
   return entry_of(*item);
 }
 
+wire::EntryT Registry::adopt(std::string const& id, Micros now) {
+  Instance& item = all[id];
+  item.owner = self;
+  item.heard = now;
+  return entry_of(item);
+}
+
 std::optional<wire::EntryT> Registry::take_entry(wire::EntryT const& entry, Micros now) {
   if (beside_owner(entry.key) || entry.state > static_cast<std::uint8_t>(Standing::gone)) return std::nullopt;
   Standing const said = static_cast<Standing>(entry.state);
--- a/src/flow/registry/registry.h
+++ b/src/flow/registry/registry.h
@@ -73,6 +73,8 @@
   // A word that a worker is to say elsewhere too: a known one is there, and nothing else changes. False for others.
   bool hear(Beat const& word, Micros now);
   std::optional<wire::EntryT> leave(std::string const& id, std::uint64_t order, Micros now);
+  // A known worker whose owner is gone is this node's from now on: it has a span to say something. The entry to write.
+  wire::EntryT adopt(std::string const& id, Micros now);
   // An entry that the ledger took from a peer. What this node must say against it, when it knows better.
   std::optional<wire::EntryT> take_entry(wire::EntryT const& entry, Micros now);
   // Workers of this node whose beats have stopped; entries to be written of them.
