A listening socket rests when no descriptor is left

Class: a retry without a pause. Change: no look for 0.1 s, event 112 once. Looked for elsewhere: dials pause, the disk's retries pause, refused peers back off.

--- a/src/base/events.h
+++ b/src/base/events.h
@@ -18,6 +18,7 @@
   EVENT(109, ready, INFO, "the node takes requests")                                        \
   EVENT(110, not_ready, WARNING, "the node waits before it takes requests")                 \
   EVENT(111, metrics_untold, WARNING, "the metrics' address cannot be listened on")         \
+  EVENT(112, descriptors_gone, WARNING, "no descriptor is left for new connections")        \
   EVENT(200, wire_open, INFO, "a wire to a peer is open")                                   \
   EVENT(201, wire_shut, INFO, "a wire to a peer has ended")                                 \
   EVENT(202, wire_garbage, WARNING, "a wire brought what is no frame")                      \
--- a/src/gate/net/link.cc
+++ b/src/gate/net/link.cc
@@ -10,6 +10,7 @@
 
 #include <cstring>
 
+#include "base/events.h"
 #include "base/ip.h"
 
 namespace pipit {
@@ -18,6 +19,7 @@
 constexpr int silence_ms = 8000;       // for how long sent bytes may stay unacknowledged
 constexpr unsigned finish_ms = 30000;  // for how long a peer may take what is left for it
 constexpr std::size_t room = 65536;
+constexpr unsigned rest_ms = 100;  // of a listening socket when no descriptor is left
 
 bool address_of(std::string const& text, sockaddr_in& out) {
   std::string host;
@@ -296,6 +298,11 @@
     close();
     return fail(Kind::bad_settings, address + " cannot be listened on: " + why);
   }
+  listen_on();
+  return boost::outcome_v2::success();
+}
+
+void Door::listen_on() {
   watch = g_unix_fd_add(
       fd, G_IO_IN,
       [](gint, GIOCondition, gpointer self) -> gboolean {
@@ -303,20 +310,38 @@
         return G_SOURCE_CONTINUE;
       },
       this);
-  return boost::outcome_v2::success();
+}
+
+void Door::rest() {
+  if (!short_of_descriptors) log_event(Event::descriptors_gone, std::strerror(errno));
+  short_of_descriptors = true;
+  if (watch != 0) g_source_remove(watch);
+  watch = 0;
+  timer = g_timeout_add(
+      rest_ms,
+      [](gpointer data) -> gboolean {
+        Door* const self = static_cast<Door*>(data);
+        self->timer = 0;
+        self->listen_on();
+        return G_SOURCE_REMOVE;
+      },
+      this);
 }
 
 void Door::accept_some() {
   for (int turns = 0; turns < 32 && fd >= 0; ++turns) {
     int const got = ::accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (got < 0 && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)) return rest();
     if (got < 0) return;
+    short_of_descriptors = false;
     taken(Link::adopt(got));
   }
 }
 
 void Door::close() {
   if (watch != 0) g_source_remove(watch);
-  watch = 0;
+  if (timer != 0) g_source_remove(timer);
+  watch = timer = 0;
   if (fd >= 0) ::close(fd);
   fd = -1;
 }
--- a/src/gate/net/link.h
+++ b/src/gate/net/link.h
@@ -91,8 +91,13 @@
 
  private:
   void accept_some();
+  void listen_on();
+  // Without descriptors nothing can be taken for a while; looking again at once would only keep the loop busy.
+  void rest();
   int fd = -1;
   unsigned watch = 0;
+  unsigned timer = 0;
+  bool short_of_descriptors = false;  // that was logged
   Taken taken;
 };
 
