--- /dev/null
+++ b/src/core/listed.cc
@@ -0,0 +1,187 @@
+// A router node where the platform has a list of workers (§4): readings of the list, workers' health, entries that this
+// node owns, and requests of callers in its errands.
+#include <algorithm>
+
+#include "base/events.h"
+#include "base/guards.h"
+#include "core/node.h"
+
+namespace pipit {
+
+namespace {
+constexpr Micros list_gap = millis(300);
+constexpr Micros check_gap = millis(500);
+constexpr Micros load_gap = millis(200);
+}  // namespace
+
+// What a router node does each turn where the platform has a list of workers.
+void Node::tick_listed(Micros now, std::vector<OutgoingMessage>& outgoing, NodeOut& out) {
+  if (now >= next_round) {
+    next_round = now + seconds(1);
+    std::vector<std::pair<std::string, std::vector<std::string>>> peers;
+    for (std::string const& name : index_peers()) peers.emplace_back(name, mesh.members.peers.at(name).member.models);
+    index_sync.round(
+        now, peers, [this](std::string const& model) { return bounds(model); }, outgoing);
+    own_entries(now, out);
+  }
+  index_sync.tick(now, index_peers(), outgoing);
+  if (now >= next_reconcile) {
+    next_reconcile = now + seconds(30);
+    fleet.reconcile(mesh.ledger.all(), now);
+  }
+  if (list_flying && now - list_flew > seconds(3)) list_flying = false;
+  if (now >= next_list && !list_flying) {
+    next_list = now + list_gap;
+    list_flying = true;
+    list_flew = now;
+    out.read_list = true;
+  }
+  for (std::pair<std::string const, Worker> const& item : fleet.workers) {
+    Worker const& worker = item.second;
+    if (worker.standing == Standing::gone || checking.count(item.first)) continue;
+    if (now >= check_due[item.first]) check_now(item.first, now, out);
+  }
+  // §6.6: the share of a cold worker's bound counts every node that is known, DOWN ones too, so that a cut never
+  // raises the sum.
+  std::set<std::string> names = passages(true);
+  if (learner.value)
+    for (std::unique_ptr<wire::SeatT> const& seat : learner.value->seats) names.insert(seat->name);
+  desk.nodes(std::move(names), newcomer(now));
+  look_seat(now, out);
+  tell_loads(now, outgoing);
+  std::set<std::string> senders = passages(false);
+  senders.erase(plan.name);
+  fleet.sum_others(senders, now);
+  look_ready(now, out);
+  bool const alone = guard(Guard::isolation) && !is_up_to_date(now);
+  if (able && alone != isolated) {
+    isolated = alone;
+    log_event(alone ? Event::isolated : Event::not_isolated, "");
+  }
+  desk.ready(able && !isolated);
+  desk.work(now, out.desk);
+  check_asked(now, out);
+}
+
+void Node::list(std::optional<std::vector<ListRow>> const& rows, bool answered, Micros now, NodeOut& out) {
+  watch_clock(now);
+  list_flying = false;
+  if (!rows) {
+    // A failed reading is no departure.
+    if (answered) list_said_at = now;
+    if (!list_bad) log_event(Event::list_failed, "");
+    list_bad = true;
+    return;
+  }
+  if (list_bad) log_event(Event::list_back, "");
+  list_bad = false;
+  fleet.take_list(*rows, now);
+  // What this reading began before a jump of the clock says nothing about the time after it.
+  if (stale_from < 0 || list_flew >= stale_from) {
+    listed_at = list_flew;
+    news_at = std::max(news_at, listed_at);
+  }
+  take_fresh(now);
+  own_entries(now, out);
+  look_ready(now, out);
+  desk.work(now, out.desk);
+}
+
+void Node::health_report(Check const& check, std::optional<HealthReport> const& report, bool refused, Micros now,
+                         NodeOut& out) {
+  watch_clock(now);
+  checking.erase(check.worker);
+  fleet.health_report(check.worker, check.life, check.asked, report, refused, now);
+  take_fresh(now);
+  desk.work(now, out.desk);
+  check_asked(now, out);
+}
+
+void Node::own_entries(Micros now, NodeOut& out) {
+  if (plan.role != Role::passage || listed_at < 0 || now - listed_at > seconds(5) || leaving) return;
+  std::set<std::string> const names = passages(false);
+  std::set<std::string> mine;
+  for (std::pair<std::string const, Worker> const& item : fleet.workers)
+    if (rendezvous(item.first, names) == plan.name) mine.insert(item.first);
+  bool any = false;
+  for (wire::EntryT& entry : fleet.entries_for(mine)) any = mesh.ledger.put(std::move(entry), now) || any;
+  // §4.3: the owner may have missed a mark that this node read. Then this node says so under a key of its own.
+  std::set<std::string> marked;
+  for (std::pair<std::string const, Worker> const& item : fleet.workers) {
+    std::map<std::string, wire::EntryT>::const_iterator const said = mesh.ledger.all().find(item.first);
+    bool const told = said != mesh.ledger.all().end() && said->second.incarnation >= item.second.row.incarnation &&
+                      said->second.state != static_cast<std::uint8_t>(Standing::serving);
+    if (item.second.standing != Standing::serving && !told && !mine.count(item.first)) marked.insert(item.first);
+  }
+  for (wire::EntryT& entry : fleet.entries_for(marked)) {
+    entry.key += "!" + plan.name;
+    any = mesh.ledger.put(std::move(entry), now) || any;
+  }
+  if (any) mesh.flush_entries(out.mesh);
+}
+
+void Node::errand(std::uint64_t id, Ask ask, Micros now, NodeOut& out) {
+  watch_clock(now);
+  ask.facts.zone = plan.zone;
+  desk.fresh(id, std::move(ask), now, out.desk);
+  check_asked(now, out);
+}
+
+// Peers hear how many legs this node has at each worker, soon when that changed, and now and then when not.
+void Node::tell_loads(Micros now, std::vector<OutgoingMessage>& outgoing) {
+  if (now < next_loads) return;
+  next_loads = now + load_gap;
+  wire::LoadsT loads = fleet.own_legs();
+  loads.age = news_age(now);
+  std::string print;
+  for (std::unique_ptr<wire::LoadT> const& item : loads.list)
+    print += item->worker + " " + std::to_string(item->legs) + " ";
+  if (print == loads_last && now - loads_told < millis(500)) return;
+  loads_last = print;
+  loads_told = now;
+  for (std::string const& name : index_peers()) outgoing.push_back(message_to(name, wire::LoadsT(loads)));
+}
+
+void Node::check_now(std::string const& id, Micros now, NodeOut& out) {
+  Worker const* const worker = fleet.find(id);
+  if (worker == nullptr) return;
+  check_due[id] = now + check_gap;
+  checking.insert(id);
+  out.checks.push_back(Check{id, worker->row.address, worker->row.incarnation, now});
+}
+
+// Placing waits for a worker's word: it is asked once, and again when that was lost.
+void Node::check_asked(Micros now, NodeOut& out) {
+  for (std::string const& id : out.desk.asks) {
+    Worker* const worker = fleet.find(id);
+    if (worker == nullptr || worker->asked >= 0) continue;
+    worker->asked = now;
+    check_now(id, now, out);
+  }
+  out.desk.asks.clear();
+}
+
+void Node::leg_ended(std::uint64_t id, LegEnd end, std::string const& why, Micros back, Micros now, NodeOut& out) {
+  watch_clock(now);
+  desk.ended(id, end, why, back, now, out.desk);
+  for (std::pair<std::string, std::uint64_t> const& doubt : out.desk.doubts) {
+    check_now(doubt.first, now, out);
+    for (std::string const& name : index_peers()) {
+      wire::DoubtT word;
+      word.worker = doubt.first;
+      word.incarnation = doubt.second;
+      mesh.post(name, std::move(word), out.mesh);
+    }
+  }
+  out.desk.doubts.clear();
+  desk.work(now, out.desk);
+  check_asked(now, out);
+}
+
+void Node::hung_up(std::uint64_t id, Micros now, NodeOut& out) {
+  watch_clock(now);
+  desk.hung_up(id, now, out.desk);
+  desk.work(now, out.desk);
+}
+
+}  // namespace pipit
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -186,6 +186,7 @@
   std::optional<Change> catch_up_read(Micros now);
   std::vector<std::string> first_keepers(Micros now) const;
   std::size_t keepers_wanted() const;
+  void tick_listed(Micros now, std::vector<OutgoingMessage>& outgoing, NodeOut& out);
   void tick_registered(Micros now, std::vector<OutgoingMessage>& outgoing, NodeOut& out);
   void put_entry(wire::EntryT entry, Micros now, NodeOut& out);
   void adopt_workers(Micros now, NodeOut& out);
