--- a/tests/wide.cc
+++ b/tests/wide.cc
@@ -380,4 +380,14 @@
   }
 }
 
+// A wait that is meant for fleets whose nodes share the bounds of cold workers kept every start out for two seconds more.
+TEST(Readiness, comes_with_the_first_configuration) {
+  Field field(9, 3, 3);
+  field.run(seconds(6));
+  field.beat(4, word_of("w", 1));
+  field.configure(1);
+  field.run(millis(600));
+  for (std::unique_ptr<Node> const& node : field.nodes) EXPECT_TRUE(node->ready()) << node->plan.name;
+}
+
 }  // namespace pipit
