--- a/proof/control_plane/member_scenarios.cc
+++ b/proof/control_plane/member_scenarios.cc
@@ -377,10 +377,7 @@
 // The first seconds: machines start in any order, and one that counts is in trouble before, while or after the first
 // set is written.
 Report founding(ScenarioPlan const& plan) {
-  // In its first life a node waits for two seconds after its first configuration before it is ready.
-  JudgePlan judged;
-  judged.spread = seconds(4);
-  Fleet fleet(plan, Fleet::Unstarted{}, judged);
+  Fleet fleet(plan, Fleet::Unstarted{}, JudgePlan{});
   World& world = fleet.world;
   static char const* const words[] = {
       "late", "killed", "dark", "wiped", "frozen", "cut off", "replaced", "full at its start", "slow disk"};
