--- a/proof/stage/workers.cc
+++ b/proof/stage/workers.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <cstring>
 
@@ -44,16 +45,23 @@
          std::to_string(1 + last_ip % 250);
 }
 
+// Two troubles may have met one worker, and given its address to two others.
+bool Workers::taken(std::string const& ip) const {
+  return std::any_of(all.begin(), all.end(), [&ip](std::unique_ptr<Worker> const& worker) {
+    return worker->state != State::ended && worker->ip == ip;
+  });
+}
+
 Workers::Worker& Workers::open(std::string const& zone, std::string const& service, std::string const& ip) {
   all.push_back(std::make_unique<Worker>(shape.engine));
   Worker& worker = *all.back();
   worker.id = "i-" + std::to_string(++last_id) + "-" + std::to_string(random.below(100000));
-  worker.ip = ip;
-  worker.public_ip = public_ip_of(ip);
+  worker.ip = taken(ip) ? next_ip() : ip;
+  worker.public_ip = public_ip_of(worker.ip);
   worker.zone = zone;
   worker.service = service;
   worker.next_node = random.below(nodes.all.size());
-  nodes.zone_of[ip] = zone;
+  nodes.zone_of[worker.ip] = zone;
   listen(worker);
   Worker* const at = &worker;
   after(static_cast<Micros>(random.below(300000)), [this, at] { beat(*at, 0); });
--- a/proof/stage/workers.h
+++ b/proof/stage/workers.h
@@ -59,6 +59,7 @@
 
   Worker& open(std::string const& zone, std::string const& service, std::string const& ip);
   std::string next_ip();
+  bool taken(std::string const& ip) const;
   std::string public_ip_of(std::string const& ip) const;
   void listen(Worker& worker);
   void accept(Worker& worker);
