--- a/proof/control_plane/world.cc
+++ b/proof/control_plane/world.cc
@@ -141,6 +141,7 @@
   machine.life = ++lives;
   made.incarnation = static_cast<std::uint64_t>(seconds(1000000) + time + machine.wall_offset + 1);
   made.chance = made.incarnation ^ hash_text(machine.name) ^ hash_bits(plan.seed);
+  if (on_plan) on_plan(made);
   machine.powered = true;
   machine.frozen = false;
   machine.deferred.clear();
@@ -321,6 +322,7 @@
     machine.wires.erase(wire);
     hang_up(item.first, item.second, false);
   }
+  if (on_dispatch && !out.dispatch.empty()) on_dispatch(machine, out.dispatch);
   if (!on_reply) return;
   std::uint64_t const life = machine.life;
   for (Reply const& reply : out.replies)
--- a/proof/control_plane/world.h
+++ b/proof/control_plane/world.h
@@ -148,6 +148,9 @@
   std::function<void(Machine&, Reply const&)> on_reply;
   std::function<void(Machine&)> on_end;
   std::function<void(Machine&)> on_boot;
+  // Completes the plan of a node before its process begins, and takes what its dispatcher decided.
+  std::function<void(NodePlan&)> on_plan;
+  std::function<void(Machine&, DispatchOut&)> on_dispatch;
   std::uint64_t frames = 0;
   std::uint64_t frame_bytes = 0;
   std::map<wire::Body, FrameCount> sent;           // by kind
--- /dev/null
+++ b/proof/tenants/load.cc
@@ -0,0 +1,304 @@
+#include "proof/tenants/load.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/json_writer.h"
+#include "base/key_digest.h"
+
+namespace pipit::tenants {
+
+namespace {
+using control_plane::Machine;
+using control_plane::MachineId;
+
+constexpr double window_s = 8;
+constexpr double overshoot = 0.1;
+constexpr double slack = 140000;
+constexpr Micros settle = seconds(14);  // until callers begin
+constexpr Micros beat_gap = millis(500);
+constexpr Micros lowered_after = seconds(8) + millis(2500);  // a lower limit binds then
+
+std::string key_of(std::size_t tenant, bool second) {
+  return "key-" + std::to_string(tenant) + (second ? "-second" : "-first");
+}
+double seconds_of(Micros span) { return static_cast<double>(span) / 1e6; }
+}  // namespace
+
+Load::Load(LoadPlan plan_)
+    : world([&plan_] {
+        control_plane::WorldPlan out;
+        out.seed = plan_.seed;
+        out.disks = plan_.disks;
+        out.plain = plan_.plain;
+        out.tolerated = 2;
+        return out;
+      }()),
+      figures(plan_.tenants),
+      plan(plan_),
+      random(plan_.seed * 31 + 5),
+      heats(plan_.tenants, 1),
+      levels(plan_.tenants, 0),
+      levelled(plan_.tenants, 0),
+      runs(plan_.tenants),
+      key_gone(plan_.tenants, false),
+      gone_at(plan_.tenants, -1) {
+  for (std::size_t n = 0; n < plan.tenants; ++n)
+    limits.push_back(std::max(36000.0, std::floor(plan.rate_most * std::pow(2.0 / 3, static_cast<double>(n)))));
+  first_limits = limits;
+  for (double const limit : limits) history.push_back({Limits{0, limit}});
+  world.on_plan = [this](NodePlan& made) {
+    made.revocation = plan.revocation - millis(300);
+    made.quota.window = static_cast<Micros>(window_s * 1e6);
+    made.quota.overshoot = overshoot;
+    made.quota.slack = slack;
+  };
+  world.on_dispatch = [this](Machine& machine, DispatchOut& out) { took(machine, out); };
+  world.on_reply = [this](Machine&, Reply const& reply) {
+    std::map<std::uint64_t, std::function<void()>>::iterator const spot = waiting.find(reply.id);
+    if (spot == waiting.end()) return;
+    std::function<void()> const done = std::move(spot->second);
+    waiting.erase(spot);
+    if (reply.outcome.type == Outcome::Type::chosen) return done();
+    change(done);  // it is tried again, under a new number
+  };
+}
+
+void Load::find(std::string const& what) {
+  findings.push_back(std::to_string(world.now() / 1000) + " ms: " + what);
+}
+
+std::string Load::text() const {
+  JsonWriter json;
+  json.begin_object().key("format").number(1);
+  json.key("pools").begin_list().begin_object().key("name").text("p").key("model").text("m");
+  json.key("slots").number(100000).end_object().end_list();
+  json.key("lanes").begin_list().end_list();
+  json.key("routes").begin_list().begin_object().key("name").text("r").key("host").text("h").key("prefix").text("/");
+  json.key("shares").begin_list().begin_object().key("pool").text("p").end_object().end_list();
+  json.key("hold_ms").number(3000).key("aim_ms").number(500).end_object().end_list();
+  json.key("tenants").begin_list();
+  for (std::size_t n = 0; n < plan.tenants; ++n) {
+    json.begin_object().key("name").text("tenant-" + std::to_string(n)).key("keys").begin_list();
+    json.text(key_of(n, true));
+    if (!key_gone[n]) json.text(key_of(n, false));
+    json.end_list().key("counts").text("tokens").key("plain_tokens").number(200);
+    json.key("rate").number(n == unlimited() ? 0 : static_cast<std::int64_t>(limits[n]));
+    json.key("burst").number(static_cast<std::int64_t>(limits[n])).end_object();
+  }
+  json.end_list().end_object();
+  return json.take();
+}
+
+void Load::change(std::function<void()> const& confirmed) {
+  std::vector<MachineId> const at = owners();
+  MachineId target = at.empty() ? 0 : at[random.below(at.size())];
+  std::uint64_t const call = ++next_call;
+  waiting[call] = confirmed;
+  Change change;
+  change.type = Change::Type::apply;
+  change.id = "change-" + std::to_string(call);
+  change.text = text();
+  Machine& machine = world.machine(target);
+  if (machine.up()) change.expected = machine.node->learner.serial();
+  world.enter(target, machine.life, [call, change](Node& node, Micros now, NodeOut& out) {
+    node.operate(call, change, now, out);
+  });
+  world.after(seconds(3), [this, call] {
+    std::map<std::uint64_t, std::function<void()>>::iterator const spot = waiting.find(call);
+    if (spot == waiting.end()) return;
+    std::function<void()> const done = std::move(spot->second);
+    waiting.erase(spot);
+    this->change(done);
+  });
+}
+
+void Load::limit(std::size_t tenant, double times) {
+  limits[tenant] = std::floor(first_limits[tenant] * times);
+  double const now_asked = limits[tenant];
+  // A higher one may be granted from its sending on, a lower one binds some time after its acknowledgement.
+  if (now_asked > history[tenant].back().rate) history[tenant].push_back(Limits{world.now(), now_asked});
+  change([this, tenant, now_asked] {
+    if (now_asked < history[tenant].back().rate)
+      history[tenant].push_back(Limits{world.now() + lowered_after, now_asked});
+  });
+}
+
+void Load::revoke(std::size_t tenant) {
+  key_gone[tenant] = true;
+  change([this, tenant] { gone_at[tenant] = world.now(); });
+}
+
+std::vector<MachineId> Load::owners() {
+  std::vector<MachineId> out;
+  for (MachineId const id : world.keepers())
+    if (world.machine(id).up() && world.machine(id).calm()) out.push_back(id);
+  return out;
+}
+
+MachineId Load::some_plain() { return plan.disks + random.below(plan.plain); }
+
+void Load::beat() {
+  ++beat_order;
+  for (MachineId id = 0; id < world.size(); ++id) {
+    Machine& machine = world.machine(id);
+    if (!machine.up()) continue;
+    Beat word;
+    word.id = "w" + std::to_string(id);
+    word.address = "10.9.0." + std::to_string(id + 1) + ":80";
+    word.zone = machine.zone;
+    word.pool = "p";
+    word.slots = 100000;
+    word.order = beat_order;
+    world.enter(id, machine.life, [word](Node& node, Micros now, NodeOut& out) { node.beat(word, now, out); });
+  }
+  world.after(beat_gap, [this] { beat(); });
+}
+
+void Load::begin() {
+  world.boot_all(true);
+  world.run(seconds(4));
+  change([] {});
+  beat();
+  world.run(settle);
+  began = world.now();
+  sending_now = true;
+  for (std::size_t n = 0; n < plan.tenants; ++n) {
+    levels[n] = first_limits[n];
+    levelled[n] = world.now();
+    next(n);
+  }
+}
+
+void Load::finish() { sending_now = false; }
+
+void Load::next(std::size_t tenant) {
+  if (!sending_now) return;
+  double const mean_tokens = 6000;
+  double const rate = first_limits[tenant] * plan.usual * heats[tenant] / mean_tokens / plan.clump;  // clumps a second
+  double const gap = -std::log(1 - static_cast<double>(random.below(1000000)) / 1e6) / rate;
+  world.after(static_cast<Micros>(gap * 1e6), [this, tenant] {
+    std::size_t const clump = 1 + random.below(static_cast<std::uint64_t>(plan.clump * 2 - 1));
+    for (std::size_t n = 0; n < clump; ++n) send(tenant);
+    next(tenant);
+  });
+}
+
+void Load::send(std::size_t tenant) {
+  if (!sending_now) return;
+  MachineId at = random.below(world.size());
+  if (crowded && random.chance(0.9)) at = *crowded;
+  Machine& machine = world.machine(at);
+  if (!machine.up() || machine.removed || !machine.node->ready()) return;
+  Sent sent;
+  sent.tenant = tenant;
+  sent.at = world.now();
+  sent.count = 500 + static_cast<std::int64_t>(random.below(11000));
+  sent.revoked_key = key_gone[tenant] && random.chance(0.5);
+  double const limit = std::min(limits[tenant], history[tenant].back().rate);
+  levels[tenant] =
+      std::min(limit, levels[tenant] + limit * seconds_of(world.now() - levelled[tenant]));
+  levelled[tenant] = world.now();
+  sent.due = !sent.revoked_key && levels[tenant] >= static_cast<double>(sent.count);
+  if (sent.due) {
+    levels[tenant] -= static_cast<double>(sent.count);
+    figures[tenant].due += static_cast<double>(sent.count);
+  }
+  ++figures[tenant].sent;
+  std::uint64_t const id = ++next_id;
+  under_way[id] = sent;
+  Query query;
+  query.host = "h";
+  query.path = "/x";
+  query.names_tokens = true;
+  query.tokens_in = sent.count;
+  query.key = key_digest_of(key_of(tenant, !sent.revoked_key && key_gone[tenant]));
+  query.left = seconds(3);
+  world.enter(at, machine.life,
+              [id, query](Node& node, Micros now, NodeOut& out) { node.request(id, query, now, out); });
+}
+
+void Load::took(Machine& machine, DispatchOut& out) {
+  for (Attempt const& start : out.starts) {
+    std::map<std::uint64_t, Sent>::iterator const spot = under_way.find(start.request);
+    if (spot == under_way.end()) continue;
+    judge_run(spot->second);
+    under_way.erase(spot);
+    std::uint64_t const id = start.request;
+    MachineId const at = machine.id;
+    std::uint64_t const life = machine.life;
+    world.after(millis(5), [this, id, at, life] {
+      world.enter(at, life, [id](Node& node, Micros now, NodeOut& done) {
+        node.dispatcher.left(id, now);
+        node.attempt_ended(id, AttemptEnd::whole, false, now, done);
+      });
+    });
+  }
+  for (Denial const& denial : out.denials) {
+    std::map<std::uint64_t, Sent>::iterator const spot = under_way.find(denial.request);
+    if (spot == under_way.end()) continue;
+    Sent const& sent = spot->second;
+    TenantFigures& of = figures[sent.tenant];
+    if (denial.kind == Kind::over_quota) {
+      ++of.refused;
+      if (sent.due) ++of.refused_below;
+    } else {
+      ++of.unserved;
+    }
+    if (denial.kind == Kind::unknown_key && !sent.revoked_key) find("a key that holds is said to be unknown");
+    under_way.erase(spot);
+  }
+}
+
+double Load::allowed(std::size_t tenant, Micros from) const {
+  double rate = 0;
+  std::vector<Limits> const& of = history[tenant];
+  for (std::size_t n = 0; n < of.size(); ++n) {
+    bool const over = n + 1 < of.size() && of[n + 1].since <= from;
+    if (!over && of[n].since <= world.now()) rate = std::max(rate, of[n].rate);
+  }
+  return (rate * window_s + rate) * (1 + overshoot) + slack;
+}
+
+void Load::judge_run(Sent const& sent) {
+  TenantFigures& of = figures[sent.tenant];
+  ++of.granted;
+  of.tokens += static_cast<double>(sent.count);
+  std::string const name = "tenant-" + std::to_string(sent.tenant);
+  bool const gone = sent.revoked_key && gone_at[sent.tenant] >= 0;
+  if (gone && sent.at > gone_at[sent.tenant] + plan.revocation)
+    find(name + ": a request runs that was sent " + std::to_string((sent.at - gone_at[sent.tenant]) / 1000) +
+         " ms after its key was taken away");
+  std::deque<Run>& last = runs[sent.tenant];
+  last.push_back(Run{sent.at, world.now(), static_cast<double>(sent.count)});
+  Micros const from = world.now() - static_cast<Micros>(window_s * 1e6);
+  while (!last.empty() && last.front().at < from) last.pop_front();
+  double sum = 0;
+  for (Run const& run : last)
+    if (run.sent >= from) sum += run.count;
+  double const most = allowed(sent.tenant, from);
+  if (sent.tenant != unlimited()) of.fullest = std::max(of.fullest, sum / most);
+  if (sum > most && sent.tenant != unlimited()) find(name + ": " + std::to_string(sum) + " tokens in a window that allows " + std::to_string(most));
+}
+
+std::uint64_t Load::messages() const {
+  std::uint64_t out = 0;
+  for (wire::Body const kind :
+       {wire::Body::QuotaAsk, wire::Body::QuotaReply, wire::Body::NewestAsk, wire::Body::NewestReply}) {
+    std::map<wire::Body, control_plane::FrameCount>::const_iterator const spot = world.sent.find(kind);
+    if (spot != world.sent.end()) out += spot->second.frames;
+  }
+  return out;
+}
+
+std::uint64_t Load::message_bytes() const {
+  std::uint64_t out = 0;
+  for (wire::Body const kind :
+       {wire::Body::QuotaAsk, wire::Body::QuotaReply, wire::Body::NewestAsk, wire::Body::NewestReply}) {
+    std::map<wire::Body, control_plane::FrameCount>::const_iterator const spot = world.sent.find(kind);
+    if (spot != world.sent.end()) out += spot->second.bytes;
+  }
+  return out;
+}
+
+}  // namespace pipit::tenants
--- /dev/null
+++ b/tests/passing.h
@@ -0,0 +1,127 @@
+// Callers, workers, the relay and the dispatcher on loopback, for tests of the path of a request (§12.5).
+#pragma once
+#include <gtest/gtest.h>
+
+#include <glib.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "gate/net/clock.h"
+#include "gate/relay/relay.h"
+#include "tests/loopback.h"
+
+namespace pipit {
+
+inline std::string route_text(std::string const& name, std::string const& more) {
+  return "{\"name\":\"" + name + "\",\"host\":\"h.test\",\"prefix\":\"/" + name +
+         "/\",\"shares\":[{\"pool\":\"p\"}],\"hold_ms\":20000,\"aim_ms\":1000,\"attempts\":3" + more + "}";
+}
+
+class Passing : public testing::Test {
+ protected:
+  struct Worker {
+    Door door;
+    std::string address;
+    std::vector<std::unique_ptr<Wire>> wires;
+    std::string got() const {
+      std::string out;
+      for (std::unique_ptr<Wire> const& wire : wires) out += wire->got;
+      return out;
+    }
+  };
+
+  explicit Passing(Dialect const& dialect = Dialect())
+      : relay(dispatcher, dialect, "",
+              {[this](std::uint64_t id, Query query) {
+                 DispatchOut out;
+                 dispatcher.fresh(id, std::move(query), g_get_monotonic_time(), out);
+                 obey(out);
+               },
+               [this](std::uint64_t id, AttemptEnd end, bool elsewhere) {
+                 DispatchOut out;
+                 dispatcher.ended(id, end, elsewhere, g_get_monotonic_time(), out);
+                 obey(out);
+               },
+               [this](std::uint64_t id) { return dispatcher.hung_up(id, g_get_monotonic_time()); }}) {
+    Result<std::shared_ptr<Description const>> const rules =
+        read_description("{\"format\":1,\"lanes\":[],\"pools\":[{\"name\":\"p\",\"model\":\"m\"}],\"routes\":[" +
+                         route_text("once", "") + "," + route_text("safe", ",\"repeatable\":true") + "," +
+                         route_text("live", ",\"streams\":true") + "," +
+                         route_text("flow", ",\"streams\":true,\"resumable\":true") + "]}");
+    EXPECT_TRUE(rules);
+    dispatcher.in_force(rules.value());
+    dispatcher.budget(0.2, 10);
+    address = open_door([this](std::string const& at) { return relay.listen(at); });
+  }
+  ~Passing() override { caller.reset(); }
+
+  // Parts of limits are granted or refused at once, by the test's word.
+  void obey(DispatchOut& out) {
+    std::vector<QuotaNeed> const needs = std::move(out.quota_needs);
+    out.quota_needs.clear();
+    for (QuotaNeed const& need : needs) {
+      quota_needs.push_back(need);
+      QuotaResult result{need.request, quota_answer, millis(1500)};
+      if (!need.again) dispatcher.quota_result(result, g_get_monotonic_time(), out);
+    }
+    relay.act(out);
+  }
+
+  void worker(std::string const& id) {
+    std::unique_ptr<Worker>& made = workers[id];
+    made = std::make_unique<Worker>();
+    Worker* const at = made.get();
+    at->address = open_door([at](std::string const& address) {
+      return at->door.open(
+          address, [at](std::shared_ptr<Link> link) { at->wires.push_back(std::make_unique<Wire>(std::move(link))); });
+    });
+    Beat word;
+    word.id = id;
+    word.address = at->address;
+    word.zone = "a";
+    word.pool = "p";
+    word.slots = 8;
+    word.order = 1;
+    registry.beat(word, g_get_monotonic_time());
+  }
+  void ask(std::string const& method, std::string const& path, std::string const& fields = "") {
+    if (!caller || caller->shut) caller = std::make_unique<Wire>(address);
+    caller->got.clear();
+    caller->send(method + " " + path + " HTTP/1.1\r\nHost: h.test:80\r\nX-Pipit-Attempt: r1\r\n" + fields +
+                 (method == "POST" ? "Content-Length: 2\r\n\r\nhi" : "\r\n"));
+  }
+  // The worker, other than one, that has the request now.
+  std::string reached(std::string const& but = "") {
+    std::string out;
+    EXPECT_TRUE(until([&] {
+      for (std::pair<std::string const, std::unique_ptr<Worker>> const& item : workers)
+        if (item.first != but && item.second->got().find("\r\n\r\n") != std::string::npos) out = item.first;
+      return !out.empty();
+    }));
+    return out;
+  }
+  Wire& wire_of(std::string const& id) { return *workers.at(id)->wires.back(); }
+  bool hears(std::string const& text) {
+    return until([&] { return caller->got.find(text) != std::string::npos; });
+  }
+  bool quiet() const {
+    for (std::pair<std::string const, Instance> const& item : registry.all)
+      if (item.second.running != 0 || item.second.held != 0) return false;
+    return dispatcher.under_way() == 0;
+  }
+
+  std::vector<QuotaNeed> quota_needs;
+  QuotaResult::Type quota_answer = QuotaResult::Type::granted;
+  IndexSync index_sync{1};
+  Registry registry{"n1"};
+  Exchange exchange{"n1"};
+  Dispatcher dispatcher{"n1", "a", index_sync, registry, exchange};
+  Relay relay;
+  std::string address;
+  std::map<std::string, std::unique_ptr<Worker>> workers;
+  std::unique_ptr<Wire> caller;
+};
+
+}  // namespace pipit
--- /dev/null
+++ b/tests/tenant_load.cc
@@ -0,0 +1,77 @@
+// Keys and limits of tenants under the troubles of a fleet, simulated: nothing runs that should not, and what is due is
+// served where nothing is lost. The same without the guards that this rests on.
+#include <gtest/gtest.h>
+
+#include "base/events.h"
+#include "proof/tenants/load.h"
+
+namespace pipit::tenants {
+
+namespace {
+constexpr std::uint64_t seeds = 2;
+
+Scenario const& scenario_of(std::string const& name) {
+  for (Scenario const& item : scenarios())
+    if (name == item.name) return item;
+  ADD_FAILURE() << "there is no scenario " << name;
+  return scenarios().front();
+}
+
+// All findings of a scenario's first seeds.
+std::vector<std::string> findings_of(std::string const& name, std::uint64_t count) {
+  std::vector<std::string> out;
+  for (std::uint64_t seed = 1; seed <= count; ++seed) {
+    LoadPlan plan;
+    plan.seed = seed;
+    Load load(plan);
+    RandomSource random(seed * 77 + 3);
+    load.begin();
+    scenario_of(name).play(load, random);
+    out.insert(out.end(), load.findings.begin(), load.findings.end());
+  }
+  return out;
+}
+
+class TenantLoad : public testing::TestWithParam<std::string> {
+ protected:
+  TenantLoad() { mute_log(true); }
+  ~TenantLoad() override { mute_log(false); }
+};
+}  // namespace
+
+TEST_P(TenantLoad, keeps_keys_and_limits_and_serves_what_is_due) {
+  Scenario const& scenario = scenario_of(GetParam());
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    LoadPlan plan;
+    plan.seed = seed;
+    Load load(plan);
+    RandomSource random(seed * 77 + 3);
+    load.begin();
+    scenario.play(load, random);
+    for (std::string const& finding : load.findings) ADD_FAILURE() << "seed " << seed << ", " << finding;
+    double due = 0;
+    double tokens = 0;
+    for (TenantFigures const& item : load.figures) {
+      due += item.due;
+      tokens += item.tokens;
+    }
+    ASSERT_GT(due, 0);
+    EXPECT_GE(tokens, due * (1 - scenario.excused)) << "seed " << seed;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, TenantLoad,
+                         testing::Values("calm", "hot_tenant", "crowds", "lost_owners", "cut_nodes", "split_owners",
+                                         "freezes", "clocks", "limits_change", "disks_and_power"),
+                         [](testing::TestParamInfo<std::string> const& info) { return info.param; });
+
+TEST(TenantGuards, without_the_lease_a_node_that_is_cut_off_lets_old_keys_in) {
+  mute_log(true);
+  guard_off() = Guard::lease;
+  std::vector<std::string> const found = findings_of("cut_nodes", 6);
+  guard_off() = Guard::none;
+  mute_log(false);
+  EXPECT_FALSE(found.empty());
+}
+
+}  // namespace pipit::tenants
