Operators see tenants: GET /v1/tenants, decree tenants, metrics of bounded number

Also: records bear format 3, since the register's text is now what was sent; a description with tenants and lanes is refused, since lanes know no keys.

--- a/programs/decree/main.cc
+++ b/programs/decree/main.cc
@@ -53,6 +53,7 @@
     "  decree forget NODE               a router node that is gone for good no longer counts\n"
     "  decree change ID                 whether a change whose outcome was unknown was chosen\n"
     "  decree status                    what one node knows, as JSON\n"
+    "  decree tenants                   what one node knows of tenants, their limits and keys (by digest), as JSON\n"
     "  decree wait [--within SECONDS]   until the node is ready to serve; 20 seconds at most unless told\n"
     "Exit codes: 0 done; 1 refused; 2 bad usage or description; 3 outcome unknown; 4 not reached or no majority;\n"
     "            5 chosen, but not confirmed by every node yet\n";
@@ -129,6 +130,7 @@
   }
   if (verb == "change" && two) return show(talk("GET", node, "/v1/changes/" + words[1], nullptr, ""));
   if (verb == "status" && words.size() == 1) return show(talk("GET", node, "/v1/status", nullptr, ""));
+  if (verb == "tenants" && words.size() == 1) return show(talk("GET", node, "/v1/tenants", nullptr, ""));
   if (verb == "wait" && words.size() == 1) {
     Micros const stop = g_get_monotonic_time() + seconds(within);
     Got got = talk("GET", node, "/ready", nullptr, "");
--- a/src/config/description/builder.cc
+++ b/src/config/description/builder.cc
@@ -76,6 +76,8 @@
 }
 
 Result<std::shared_ptr<Description const>> DescriptionBuilder::finish() {
+  if (description->keys_required && !description->lanes.empty())
+    return fail(Kind::bad_description, "lanes know no keys: a description with tenants has routes alone", "$.tenants");
   for (std::size_t i = 0; i < description->lanes.size(); ++i) {
     std::string const place = "$.lanes[" + std::to_string(i) + "].binding";
     std::string model;
--- a/src/gate/station/station.cc
+++ b/src/gate/station/station.cc
@@ -217,6 +217,7 @@
   // The product's own paths, as on its other programs (docs/api.md).
   if (call.head.method == "GET" && call.head.target == "/health") return answer(id, 200, "{\"ok\":true}");
   if (call.head.method == "GET" && call.head.target == "/v1/status") return answer(id, 200, status());
+  if (call.head.method == "GET" && call.head.target == "/v1/tenants") return answer(id, 200, tenants());
   if (call.head.method == "GET" && call.head.target == "/metrics") return answer(id, 200, metrics());
   answer(id, 404, answer_for(Fault{Kind::not_found, "", ""}).body);
 }
--- a/src/gate/station/station.h
+++ b/src/gate/station/station.h
@@ -78,6 +78,8 @@
   void look_stop(Micros now);
   std::string status() const;
   std::string metrics() const;
+  std::string tenants() const;
+  std::map<std::string, std::uint64_t> by_tenant(std::uint64_t TenantTally::*of) const;
 
   StationPlan const plan;
   GMainLoop* loop;
--- a/src/gate/station/status.cc
+++ b/src/gate/station/status.cc
@@ -2,6 +2,7 @@
 #include <glib.h>
 
 #include "base/json_writer.h"
+#include "base/key_digest.h"
 #include "base/metrics_text.h"
 #include "gate/station/station.h"
 
@@ -27,6 +28,20 @@
   return out;
 }
 
+constexpr std::size_t tenant_rows_most = 32;
+
+template <class Value>
+Value value_at(std::map<std::string, Value> const& from, std::string const& name) {
+  typename std::map<std::string, Value>::const_iterator const spot = from.find(name);
+  return spot == from.end() ? Value() : spot->second;
+}
+
+// -1 before the first confirmation.
+std::int64_t lease_age_ms(Node const& node) {
+  Micros const at = node.lease.confirmed();
+  return at < 0 ? -1 : (now() - at) / 1000;
+}
+
 std::uint64_t age_ms(Micros at, Micros now) { return at < 0 ? 0 : static_cast<std::uint64_t>((now - at) / 1000); }
 }  // namespace
 
@@ -77,6 +92,39 @@
   return json.take();
 }
 
+// What is known here of each tenant and its keys, which are named by their digests alone.
+std::string Station::tenants() const {
+  Description const& rules = *node->dispatcher.description();
+  JsonWriter json;
+  json.begin_object().key("keys_required").boolean(rules.keys_required);
+  json.key("configuration_confirmed_ms_ago").number(lease_age_ms(*node));
+  json.key("keys_taken").boolean(node->lease.holds(now())).key("tenants").begin_list();
+  for (Tenant const& tenant : rules.tenants) {
+    json.begin_object().key("name").text(tenant.name).key("rank").number(tenant.rank).key("keys").begin_list();
+    for (Digest const& key : tenant.keys) json.text(short_text(key));
+    json.end_list().key("counts").text(tenant.unit == CountingUnit::tokens ? "tokens" : "requests");
+    json.key("rate").number(tenant.rate).key("burst").number(tenant.burst);
+    TenantTally const asked = value_at(node->dispatcher.tenant_tallies, tenant.name);
+    QuotaOwner::Tally const granted = value_at(node->quota_owner.tallies, tenant.name);
+    json.key("here").begin_object();
+    json.key("asked").number(static_cast<std::int64_t>(asked.asked));
+    json.key("refused").number(static_cast<std::int64_t>(asked.refused));
+    json.key("unreachable").number(static_cast<std::int64_t>(asked.unreachable));
+    json.key("granted_for_all").number(static_cast<std::int64_t>(granted.count));
+    json.end_object().end_object();
+  }
+  json.end_list().end_object();
+  return json.take();
+}
+
+// A row for each of the first tenants by name, and one for the rest, however many there are.
+std::map<std::string, std::uint64_t> Station::by_tenant(std::uint64_t TenantTally::*of) const {
+  std::map<std::string, std::uint64_t> out;
+  for (std::pair<std::string const, TenantTally> const& item : node->dispatcher.tenant_tallies)
+    out[out.size() < tenant_rows_most ? item.first : "(others)"] += item.second.*of;
+  return out;
+}
+
 std::string Station::metrics() const {
   DispatchTally const& t = node->dispatcher.tally;
   MetricsText text;
@@ -113,6 +161,14 @@
   text.gauge("pipit_wires", node->mesh.wires_open());
   text.gauges("pipit_peers", "state", peers_by_state(*node));
   text.gauges("pipit_workers", "standing", workers_by_standing(*node));
+  text.gauge("pipit_configuration_confirmed_ms_ago", age_ms(node->lease.confirmed(), now()));
+  text.counter("pipit_keys_unknown_total", t.unknown_keys);
+  text.counter("pipit_keys_unconfirmed_total", t.unconfirmed);
+  text.counter("pipit_quota_messages_total", node->quota_client.tally.messages);
+  text.counter("pipit_quota_timeouts_total", node->quota_client.tally.timeouts);
+  text.counters("pipit_quota_asked_total", "tenant", by_tenant(&TenantTally::asked));
+  text.counters("pipit_quota_refused_total", "tenant", by_tenant(&TenantTally::refused));
+  text.counters("pipit_quota_unreachable_total", "tenant", by_tenant(&TenantTally::unreachable));
   text.counters("pipit_answers_total", "kind", relay->kinds);
   text.counters("pipit_order_answers_total", "status", order_answers);
   text.invariants();
--- a/src/storage/record_store.h
+++ b/src/storage/record_store.h
@@ -22,7 +22,7 @@
 };
 
 // The version of the record that this program writes. Format 1 remembered 64 orders by name (register/orders.h).
-constexpr std::uint32_t record_format = 2;
+constexpr std::uint32_t record_format = 3;
 
 class RecordStore {
  public:
--- a/tests/station.cc
+++ b/tests/station.cc
@@ -57,6 +57,13 @@
   EXPECT_EQ(post("/Instances.Leave/i-2", bye), "HTTP/1.1 503");
 }
 
+TEST_F(ControlAddress, tenants_are_told_to_operators) {
+  Wire wire(address);
+  wire.send("GET /v1/tenants HTTP/1.1\r\nHost: n1\r\n\r\n");
+  EXPECT_TRUE(until([&wire] { return wire.got.find("\"tenants\":[]") != std::string::npos; })) << wire.got;
+  EXPECT_NE(wire.got.find("\"keys_required\":false"), std::string::npos) << wire.got;
+}
+
 TEST_F(ControlAddress, metrics_are_told_at_an_address_of_their_own) {
   Wire wire(metrics);
   wire.send("GET /metrics HTTP/1.1\r\nHost: n1\r\nConnection: close\r\n\r\n");
--- a/tests/tenants.cc
+++ b/tests/tenants.cc
@@ -105,6 +105,10 @@
         "[{\"name\":\"t\",\"keys\":[\"k\"],\"rate\":1e15}]", "[{\"name\":\"t\",\"keys\":[\"k\"],\"colour\":1}]",
         "[{\"name\":\"t\",\"keys\":[\"k\"]},{\"name\":\"t\",\"keys\":[\"l\"]}]"})
     EXPECT_FALSE(read_description(head + bad + "}")) << bad;
+  EXPECT_FALSE(
+      read_description("{\"format\":1,\"pools\":[{\"name\":\"p\",\"model\":\"m\"}],\"lanes\":[{\"name\":\"l\",\"binding\":"
+                       "\"match always; pool p\"}],\"tenants\":[]}"))
+      << "lanes would let everybody in";
 }
 
 TEST(Tenants, bad_ones_are_refused_and_no_fault_names_a_key) {
