--- a/src/config/description/description.h
+++ b/src/config/description/description.h
@@ -108,7 +108,7 @@
 // Hosts are compared without regard to the case of their letters.
 std::string lower_host(std::string_view host);
 
-constexpr std::size_t description_limit = 6u << 20;
+constexpr std::size_t description_limit = 5u << 20;
 
 // Makes a description of a text that the register holds.
 using DescriptionReader = std::function<Result<std::shared_ptr<Description const>>(std::string_view)>;
--- a/src/consensus/register/text_patch.cc
+++ b/src/consensus/register/text_patch.cc
@@ -11,8 +11,8 @@
 namespace pipit {
 
 namespace {
-// Beyond so many chunks only the common head and tail are looked for; a description of 2 MiB has some 80,000.
-constexpr std::size_t chunks_most = 1u << 18;
+// Beyond so many chunks only the common head and tail are looked for; a description of 5 MiB has some 200,000.
+constexpr std::size_t chunks_most = 1u << 20;
 // A copy takes 12 bytes of the patch: what is shorter than this goes as new bytes instead.
 constexpr std::size_t copy_least = 24;
 constexpr char chunk_end = ',';
