A keeper that is back with the same set hands limits out at once

Ruled out: a shorter wait (not strict), clocks. Change: the record on disk names the set by which the wait was over; a later life that finds the same set waits no more.

--- a/proof/checker/register_view.cc
+++ b/proof/checker/register_view.cc
@@ -11,12 +11,12 @@
 
 namespace {
 
-// Members that neither say nor decide anything: name, plan, and the random numbers and times of pauses, since the
+// Members that neither say nor decide anything: a record's quota_members, which no world of the checker notes, name, plan, and the random numbers and times of pauses, since the
 // checker lets each timer end whenever it likes.
 #if defined(__x86_64__) && defined(__GLIBCXX__) && !defined(_GLIBCXX_DEBUG)
 constexpr std::size_t proposer_size = 1448;
 constexpr std::size_t learner_size = 992;
-constexpr std::size_t acceptor_size = 416;
+constexpr std::size_t acceptor_size = 432;
 static_assert(sizeof(Proposer) == proposer_size, "a member of Proposer changed: see print_of, has_timer and is_late");
 static_assert(sizeof(Learner) == learner_size, "a member of Learner changed: see print_of and is_late");
 static_assert(sizeof(Acceptor) == acceptor_size, "a member of Acceptor changed: see print_of");
--- a/src/consensus/register/acceptor.cc
+++ b/src/consensus/register/acceptor.cc
@@ -16,6 +16,12 @@
   synced_state = state;
 }
 
+void Acceptor::note_quota_members(std::uint64_t fingerprint) {
+  if (state.quota_members == fingerprint) return;
+  state.quota_members = fingerprint;
+  marked = true;
+}
+
 void Acceptor::await_founding(std::vector<std::string> const& seeds) {
   if (state.formed || !state.founding_seeds.empty()) return;
   state.founding_seeds = seeds;
--- a/src/consensus/register/acceptor.h
+++ b/src/consensus/register/acceptor.h
@@ -41,6 +41,8 @@
   // Notes the seeds of the first start on a blank disk, so that a later life may still take part in founding; step()
   // has it synced.
   void await_founding(std::vector<std::string> const& seeds);
+  // Notes the set of keepers by which limits are handed out here; step() has it synced.
+  void note_quota_members(std::uint64_t fingerprint);
   // The record that step() returned is synced.
   void synced(std::vector<OutgoingMessage>& out);
 
--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -70,7 +70,7 @@
       quota_owner(plan.quota),
       quota_client(plan.name, life_seed(plan, SeedUse::quota) >> spare_number_bits),
       owner_lease(owner_span_of(plan)),
-      quota_shares(plan.name, owner_span_of(plan)),
+      quota_shares(plan.name, owner_span_of(plan), recovered ? recovered->quota_members : 0),
       lease_grantor(now),
       repair_lease("mend", life_seed(plan, SeedUse::lease)),
       born(now),
--- a/src/core/tenancy.cc
+++ b/src/core/tenancy.cc
@@ -100,7 +100,8 @@
 void Node::tick_quota(Micros now, std::vector<OutgoingMessage>& outgoing) {
   quota_shares.note(learner.membership(), now);
   if (!dispatcher.description()->keys_required) return;
-  quota_shares.share(now);
+  std::uint64_t const settled = quota_shares.settled(now);
+  if (acceptor && settled != 0 && owner_lease.holds(now)) acceptor->note_quota_members(settled);
   quota_owner.forget(now);
   if (quota_client.waiting() > 0) quota_client.tick(quota_peers(), now, outgoing);
 }
--- a/src/flow/tenants/quota_shares.cc
+++ b/src/flow/tenants/quota_shares.cc
@@ -18,7 +18,7 @@
   for (Part& part : parts)
     if (part.until < 0) part.until = until;
   // What was in force before this process began is not known: it may have had no part.
-  if (!known) parts.push_back(Part{0, until});
+  if (!known && members.fingerprint() != settled_before) parts.push_back(Part{0, until});
   known = true;
   fingerprint = members.fingerprint();
   parts.push_back(Part{part_in(members.keepers), -1});
@@ -38,6 +38,12 @@
   return out;
 }
 
+std::uint64_t QuotaShares::settled(Micros now) {
+  share(now);
+  bool const all_in_force = std::all_of(parts.begin(), parts.end(), [](Part const& part) { return part.until < 0; });
+  return known && all_in_force ? fingerprint : 0;
+}
+
 Micros QuotaShares::active_since(Micros now) {
   share(now);
   return since;
--- a/src/flow/tenants/quota_shares.h
+++ b/src/flow/tenants/quota_shares.h
@@ -13,7 +13,9 @@
 class QuotaShares {
  public:
   // 'fence': for how long a node may go by a set after a newer one was chosen.
-  QuotaShares(std::string self_, Micros fence_) : self(std::move(self_)), fence(fence_) {}
+  // 'settled': the fingerprint of a set that an earlier life of this node saw settled() with, 0 for none.
+  QuotaShares(std::string self_, Micros fence_, std::uint64_t settled_ = 0)
+      : self(std::move(self_)), fence(fence_), settled_before(settled_) {}
 
   // The set that is in force now.
   void note(Membership const& members, Micros now);
@@ -21,6 +23,8 @@
   double share(Micros now);
   // Since when its part has been above 0 without a break; -1 when it is 0.
   Micros active_since(Micros now);
+  // The fingerprint of the set in force, once nobody may go by an older one any more; 0 before.
+  std::uint64_t settled(Micros now);
   // Whoever may be asked: the members of the newest set.
   std::vector<std::string> const& owners() const { return names; }
 
@@ -33,6 +37,7 @@
 
   std::string const self;
   Micros const fence;
+  std::uint64_t const settled_before;
   std::uint64_t fingerprint = 0;
   bool known = false;
   std::vector<Part> parts;
--- a/tests/tenants.cc
+++ b/tests/tenants.cc
@@ -258,6 +258,23 @@
   EXPECT_EQ(nodes.at("e").share(seconds(60)), 0);
 }
 
+// A full stop of all keepers costs no wait: who goes by the set that it went by before knows that nobody goes by an
+// older one.
+TEST(QuotaShares, are_back_at_once_after_a_restart_with_the_same_set) {
+  QuotaShares former("a", seconds(5));
+  Membership const set = set_of(4, {"a", "b"});
+  former.note(set, seconds(1));
+  EXPECT_EQ(former.settled(seconds(2)), 0u);
+  std::uint64_t const settled = former.settled(seconds(7));
+  EXPECT_EQ(settled, set.fingerprint());
+  QuotaShares again("a", seconds(5), settled);
+  again.note(set, seconds(10));
+  EXPECT_EQ(again.share(seconds(10)), 0.5);
+  QuotaShares other("a", seconds(5), settled);
+  other.note(set_of(5, {"a", "b"}), seconds(10));
+  EXPECT_EQ(other.share(seconds(10)), 0) << "another set, though the same names";
+}
+
 TEST(QuotaShares, without_their_fence_would_be_handed_out_twice) {
   guard_off() = Guard::quota_fence;
   QuotaShares old_one("a", seconds(5));
