--- a/proof/fuzz/main.cc
+++ b/proof/fuzz/main.cc
@@ -1,4 +1,4 @@
-// fuzz: seeded bytes against the readers of requests and answers, for a number of inputs or of seconds. Exit code 1 for
+// fuzz: seeded bytes against the readers of requests, answers and configurations, for a number of inputs or of seconds. Exit code 1 for
 // a fault.
 #include <boost/program_options.hpp>
 
@@ -28,7 +28,7 @@
   Clock::time_point const end = Clock::now() + std::chrono::seconds(seconds);
   pipit::FuzzCount count;
   while (count.fault.empty() && (seconds > 0 ? Clock::now() < end : count.inputs < inputs))
-    pipit::fuzz_readers(seed + count.inputs, count);
+    (count.inputs % 4 == 3 ? pipit::fuzz_configurations : pipit::fuzz_readers)(seed + count.inputs, count);
   std::cout << count.inputs << " inputs from seed " << seed << ", " << count.garbage << " of them by chance alone; "
             << count.whole << " messages read whole, " << count.refused << " inputs refused\n";
   if (count.fault.empty()) return 0;
--- a/proof/fuzz/readers.h
+++ b/proof/fuzz/readers.h
@@ -1,4 +1,5 @@
-// Fuzzes the two readers of messages, callers' requests and workers' answers, with seeded bytes (docs/requests.md).
+// Fuzzes the two readers of messages, callers' requests and workers' answers (docs/requests.md), and the two of
+// configurations with tenants (docs/tenants.md), with seeded bytes.
 #pragma once
 #include <cstdint>
 #include <string>
@@ -15,5 +16,7 @@
 
 // One input of that seed. Reads it in one piece, in a few and byte by byte; all must come to the same.
 void fuzz_readers(std::uint64_t seed, FuzzCount& count);
+// One configuration of that seed: it is read the same twice or refused with a fault, which never shows a key.
+void fuzz_configurations(std::uint64_t seed, FuzzCount& count);
 
 }  // namespace pipit
