--- a/proof/checker/register_view.cc
+++ b/proof/checker/register_view.cc
@@ -11,8 +11,8 @@
 
 namespace {
 
-// Members that neither say nor decide anything: a record's quota_members, which no world of the checker notes, name, plan, and the random numbers and times of pauses, since the
-// checker lets each timer end whenever it likes.
+// Members that neither say nor decide anything: a record's quota_members, which no world of the checker notes, name,
+// plan, and the random numbers and times of pauses, since the checker lets each timer end whenever it likes.
 #if defined(__x86_64__) && defined(__GLIBCXX__) && !defined(_GLIBCXX_DEBUG)
 constexpr std::size_t proposer_size = 1448;
 constexpr std::size_t learner_size = 992;
--- a/proof/fuzz/configurations.cc
+++ b/proof/fuzz/configurations.cc
@@ -11,16 +11,20 @@
 constexpr char secret[] = "s3cretkey";
 
 std::string const seeds[] = {
-    "{\"version\":2,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/p/\",\"service\":\"s\",\"timeout_ms\":9,"
+    "{\"version\":2,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/p/"
+    "\",\"service\":\"s\",\"timeout_ms\":9,"
     "\"public\":false}],\"services\":[{\"name\":\"s\"}],\"tenants\":[{\"name\":\"a\",\"api_keys\":[\"s3cretkey\","
     "\"s3cretkey2\"],\"priority\":1,\"counting_unit\":\"by_tokens\",\"uncached_tokens\":200,\"requests_per_s\":36000,"
     "\"burst_size\":36000},{\"name\":\"b\",\"api_keys\":[\"s3cretkey3\"]}]}",
-    "{\"format\":1,\"pools\":[{\"name\":\"p\",\"model\":\"m\"}],\"lanes\":[],\"routes\":[{\"name\":\"r\",\"host\":\"h\","
-    "\"prefix\":\"/\",\"shares\":[{\"pool\":\"p\"}],\"public\":true}],\"tenants\":[{\"name\":\"a\",\"keys\":[\"s3cretkey\"],"
+    "{\"format\":1,\"pools\":[{\"name\":\"p\",\"model\":\"m\"}],\"lanes\":[],\"routes\":[{\"name\":\"r\",\"host\":"
+    "\"h\","
+    "\"prefix\":\"/"
+    "\",\"shares\":[{\"pool\":\"p\"}],\"public\":true}],\"tenants\":[{\"name\":\"a\",\"keys\":[\"s3cretkey\"],"
     "\"rank\":1,\"counts\":\"tokens\",\"plain_tokens\":7,\"rate\":10,\"burst\":20}]}",
 };
-std::string const words[] = {"\"s3cretkey\"", ",", "[", "]",  "{",  "}",   "null", "-1",       "1e300", "99999999999999999999",
-                             "true",          "\"", ":", "7", "\\", "\"\"", "\\u0000", "\"name\"", "0",     "\xc3\x28"};
+std::string const words[] = {
+    "\"s3cretkey\"", ",",  "[", "]", "{",  "}",    "null",    "-1",       "1e300", "99999999999999999999",
+    "true",          "\"", ":", "7", "\\", "\"\"", "\\u0000", "\"name\"", "0",     "\xc3\x28"};
 
 std::string mutated(RandomSource& random) {
   std::string out = seeds[random.below(std::size(seeds))];
--- a/proof/fuzz/main.cc
+++ b/proof/fuzz/main.cc
@@ -1,5 +1,5 @@
-// fuzz: seeded bytes against the readers of requests, answers and configurations, for a number of inputs or of seconds. Exit code 1 for
-// a fault.
+// fuzz: seeded bytes against the readers of requests, answers and configurations, for a number of inputs or of seconds.
+// Exit code 1 for a fault.
 #include <boost/program_options.hpp>
 
 #include <chrono>
--- a/proof/tenants/load.cc
+++ b/proof/tenants/load.cc
@@ -64,9 +64,7 @@
   };
 }
 
-void Load::find(std::string const& what) {
-  findings.push_back(std::to_string(world.now() / 1000) + " ms: " + what);
-}
+void Load::find(std::string const& what) { findings.push_back(std::to_string(world.now() / 1000) + " ms: " + what); }
 
 std::string Load::text() const {
   JsonWriter json;
@@ -101,9 +99,8 @@
   change.text = text();
   Machine& machine = world.machine(target);
   if (machine.up()) change.expected = machine.node->learner.serial();
-  world.enter(target, machine.life, [call, change](Node& node, Micros now, NodeOut& out) {
-    node.operate(call, change, now, out);
-  });
+  world.enter(target, machine.life,
+              [call, change](Node& node, Micros now, NodeOut& out) { node.operate(call, change, now, out); });
   world.after(seconds(3), [this, call] {
     std::map<std::uint64_t, std::function<void()>>::iterator const spot = waiting.find(call);
     if (spot == waiting.end()) return;
@@ -196,8 +193,7 @@
   sent.count = 500 + static_cast<std::int64_t>(random.below(11000));
   sent.revoked_key = key_gone[tenant] && random.chance(0.5);
   double const limit = std::min(limits[tenant], history[tenant].back().rate);
-  levels[tenant] =
-      std::min(limit, levels[tenant] + limit * seconds_of(world.now() - levelled[tenant]));
+  levels[tenant] = std::min(limit, levels[tenant] + limit * seconds_of(world.now() - levelled[tenant]));
   levelled[tenant] = world.now();
   sent.due = !sent.revoked_key && levels[tenant] >= static_cast<double>(sent.count);
   if (sent.due) {
@@ -278,7 +274,8 @@
     if (run.sent >= from) sum += run.count;
   double const most = allowed(sent.tenant, from);
   if (sent.tenant != unlimited()) of.fullest = std::max(of.fullest, sum / most);
-  if (sum > most && sent.tenant != unlimited()) find(name + ": " + std::to_string(sum) + " tokens in a window that allows " + std::to_string(most));
+  if (sum > most && sent.tenant != unlimited())
+    find(name + ": " + std::to_string(sum) + " tokens in a window that allows " + std::to_string(most));
 }
 
 std::uint64_t Load::messages() const {
--- a/proof/tenants/load.h
+++ b/proof/tenants/load.h
@@ -1,6 +1,6 @@
-// Callers of many tenants against a simulated fleet, with a judge of what their keys and limits allowed: no request runs
-// with a key that was taken away too long ago, no tenant gets more than its limit in any window, and none is refused below
-// it (docs/tenants.md).
+// Callers of many tenants against a simulated fleet, with a judge of what their keys and limits allowed: no request
+// runs with a key that was taken away too long ago, no tenant gets more than its limit in any window, and none is
+// refused below it (docs/tenants.md).
 #pragma once
 #include <cstdint>
 #include <deque>
@@ -90,7 +90,7 @@
 
   LoadPlan const plan;
   RandomSource random;
-  std::vector<double> limits;       // now asked for
+  std::vector<double> limits;  // now asked for
   std::vector<double> first_limits;
   std::vector<std::vector<Limits>> history;
   std::vector<double> heats;
--- a/proof/tenants/main.cc
+++ b/proof/tenants/main.cc
@@ -28,8 +28,8 @@
   }
   mute_log(true);
   bool found = false;
-  std::printf("%-16s %6s %8s %8s %8s %8s %8s %8s %8s %9s %9s\n", "scenario", "seed", "sent", "granted", "refused", "below",
-              "unserved", "of due", "fullest", "messages", "B/node/s");
+  std::printf("%-16s %6s %8s %8s %8s %8s %8s %8s %8s %9s %9s\n", "scenario", "seed", "sent", "granted", "refused",
+              "below", "unserved", "of due", "fullest", "messages", "B/node/s");
   for (Scenario const& scenario : scenarios()) {
     for (std::uint64_t seed = from; seed < from + seeds; ++seed) {
       LoadPlan plan;
--- a/src/base/invariants.h
+++ b/src/base/invariants.h
@@ -23,7 +23,7 @@
   INVARIANT(taken_is_not_refused, "CONFIG N8", "an order that a chosen value remembers is not refused")          \
   INVARIANT(promise_kept, "CONFIG N9", "an acceptor never goes below its promise, nor changes a ballot's value") \
   INVARIANT(quorum_possible, "LOST", "a set of keepers is never made smaller than the losses allow")             \
-  INVARIANT(end_is_known, "DRAIN N5", "the end of a worker is acknowledged only once peers know it")                       \
+  INVARIANT(end_is_known, "DRAIN N5", "the end of a worker is acknowledged only once peers know it")             \
   INVARIANT(key_confirmed, "CONFIG", "a key lets a request run only while the configuration is known to be new") \
   INVARIANT(quota_kept, "QUOTA", "no more of a tenant's limit is granted here than this node's share of it")
 
--- a/src/config/description/description.cc
+++ b/src/config/description/description.cc
@@ -60,7 +60,7 @@
 }
 
 constexpr std::int64_t quota_number_most = 1000000000000;  // requests or tokens
-constexpr std::int64_t rank_most = 9;  // that a worker takes
+constexpr std::int64_t rank_most = 9;                      // that a worker takes
 
 // How many of the numbers are smaller.
 std::size_t index_in(std::set<std::int64_t> const& numbers, std::int64_t number) {
@@ -336,10 +336,10 @@
          [&](Element const& v, std::string const& p) {
            return reader.number(v, p, 0, quota_number_most, tenant.plain_tokens);
          }},
-        {"rate",
-         [&](Element const& v, std::string const& p) { return reader.number(v, p, 0, quota_number_most, tenant.rate); }},
-        {"burst",
-         [&](Element const& v, std::string const& p) { return reader.number(v, p, 0, quota_number_most, tenant.burst); }},
+        {"rate", [&](Element const& v,
+                     std::string const& p) { return reader.number(v, p, 0, quota_number_most, tenant.rate); }},
+        {"burst", [&](Element const& v,
+                      std::string const& p) { return reader.number(v, p, 0, quota_number_most, tenant.burst); }},
     };
     if (!reader.object(value, path, rules, {"name", "keys"})) return false;
     return reader.added(builder.add(std::move(tenant), path));
--- a/src/core/tenancy.cc
+++ b/src/core/tenancy.cc
@@ -7,9 +7,9 @@
 namespace pipit {
 
 namespace {
-constexpr Micros newest_gap = millis(300);     // between two questions whether the configuration is the newest
+constexpr Micros newest_gap = millis(300);  // between two questions whether the configuration is the newest
 constexpr std::size_t newest_told_most = 16;
-constexpr Micros newest_within = seconds(4);   // an older question is not answered any more
+constexpr Micros newest_within = seconds(4);  // an older question is not answered any more
 }  // namespace
 
 bool Node::reached(std::string const& name) const {
@@ -30,8 +30,8 @@
   }
 }
 
-// A third of the lease before its end would be late: it is renewed from its first third on, by one keeper at a time, and
-// from its half on by any peer besides, since a cut may part this node from the keepers alone.
+// A third of the lease before its end would be late: it is renewed from its first third on, by one keeper at a time,
+// and from its half on by any peer besides, since a cut may part this node from the keepers alone.
 void Node::renew_lease(Micros now, std::vector<OutgoingMessage>& outgoing) {
   confirm_configuration(now);
   if (!dispatcher.description()->keys_required || !owner_lease.ageing(now) || now < next_newest_ask) return;
@@ -66,8 +66,8 @@
   return out;
 }
 
-// The peer's moment lies 'age' before its reply, and its reply after this node's question: reckoned from the question, it
-// can only be taken for an earlier one than it was.
+// The peer's moment lies 'age' before its reply, and its reply after this node's question: reckoned from the question,
+// it can only be taken for an earlier one than it was.
 void Node::take_newest(std::string const& from, wire::NewestReplyT const& reply, Micros now,
                        std::vector<OutgoingMessage>& outgoing) {
   std::map<std::uint64_t, Micros>::iterator const spot = newest_asks.find(reply.req);
--- a/src/flow/dispatch/dispatcher.h
+++ b/src/flow/dispatch/dispatcher.h
@@ -37,9 +37,9 @@
   std::int64_t tokens_out = 0;
   bool names_tokens = false;  // the two above were said
   std::optional<Digest> key;  // of the caller, as a digest
-  Micros left = 0;      // that the caller would wait when it began to send; 0: not said
-  Micros read_for = 0;  // how long the request took to be read
-  std::string after;    // the last event that the caller has of an earlier answer
+  Micros left = 0;            // that the caller would wait when it began to send; 0: not said
+  Micros read_for = 0;        // how long the request took to be read
+  std::string after;          // the last event that the caller has of an earlier answer
 };
 
 struct Attempt {
@@ -54,7 +54,8 @@
   bool keyed = false;    // the configuration knows tenants: what a caller says of one is not passed on
 };
 
-// A part of a tenant's limit that a request needs before it may run, or, for one that is sent once more, that is counted.
+// A part of a tenant's limit that a request needs before it may run, or, for one that is sent once more, that is
+// counted.
 struct QuotaNeed {
   std::uint64_t request = 0;
   std::string tenant;
@@ -188,14 +189,14 @@
     // The attempt under way.
     std::string at;
     Reach reach = Reach::none;
-    Micros from = 0;     // when it was begun
-    Micros heard = 0;    // when its last event came
-    Micros guess = 0;    // what its first event was predicted to take
-    Micros busy = 0;     // of which others keep the worker busy
-    bool read = false;   // its first event has come: its prompt has been read
-    bool begun = false;  // a part of an answer has been passed on, by whichever attempt
-    bool marked = true;  // and all of it bears ids, so that another worker can go on after the last
-    std::string tenant;  // whose request it is, by its key; empty for nobody's
+    Micros from = 0;         // when it was begun
+    Micros heard = 0;        // when its last event came
+    Micros guess = 0;        // what its first event was predicted to take
+    Micros busy = 0;         // of which others keep the worker busy
+    bool read = false;       // its first event has come: its prompt has been read
+    bool begun = false;      // a part of an answer has been passed on, by whichever attempt
+    bool marked = true;      // and all of it bears ids, so that another worker can go on after the last
+    std::string tenant;      // whose request it is, by its key; empty for nobody's
     std::int64_t count = 0;  // in the tenant's limit
     QuotaState quota = QuotaState::none;
     Micros confirmed = 0;  // as of when the configuration was known to be new that let it run last
--- a/src/flow/dispatch/tenancy.cc
+++ b/src/flow/dispatch/tenancy.cc
@@ -103,7 +103,8 @@
   if (!lease->needed() || !request.rules->keys_required) return;
   bool const confirmed = request.came - request.confirmed <= lease->span;
   check_invariant(confirmed, Invariant::key_confirmed, [&] {
-    return "request " + std::to_string(request.id) + " came " + std::to_string((request.came - request.confirmed) / 1000) +
+    return "request " + std::to_string(request.id) + " came " +
+           std::to_string((request.came - request.confirmed) / 1000) +
            " ms after the configuration was known to be new";
   });
 }
--- a/src/flow/tenants/configuration_lease.h
+++ b/src/flow/tenants/configuration_lease.h
@@ -1,7 +1,7 @@
 // A lease on the configuration (docs/control.md, "Keys that are taken away"). A node knows as of which moment nothing
 // newer than what it holds had been chosen; for a while after that moment it may let requests run with the keys that it
-// knows. The moment is when the question left here, by the monotonic clock of this node, so neither the way of an answer
-// nor a clock of another machine matters.
+// knows. The moment is when the question left here, by the monotonic clock of this node, so neither the way of an
+// answer nor a clock of another machine matters.
 #pragma once
 #include <algorithm>
 
--- a/src/flow/tenants/quota_budget.h
+++ b/src/flow/tenants/quota_budget.h
@@ -1,4 +1,5 @@
-// What a tenant's limit allows, as a rate and a depth that are split among the nodes that hand it out (docs/tenants.md).
+// What a tenant's limit allows, as a rate and a depth that are split among the nodes that hand it out
+// (docs/tenants.md).
 #pragma once
 #include <algorithm>
 #include <cstdint>
--- a/src/flow/tenants/quota_client.cc
+++ b/src/flow/tenants/quota_client.cc
@@ -8,7 +8,7 @@
 
 namespace {
 constexpr Micros answer_within = millis(120);
-constexpr Micros dry_most = millis(400);   // an owner that had too little is asked again after so long at the most
+constexpr Micros dry_most = millis(400);  // an owner that had too little is asked again after so long at the most
 constexpr Micros dry_least = millis(20);
 constexpr std::size_t dry_count_most = 20000;
 constexpr std::size_t peers_tried_most = 3;
--- a/src/flow/tenants/quota_owner.cc
+++ b/src/flow/tenants/quota_owner.cc
@@ -58,7 +58,8 @@
   double const rate = static_cast<double>(tenant.rate) * share;
   QuotaDecision out;
   double const lacks = wanted - from.level;
-  out.wait = rate > 0 ? static_cast<Micros>(std::min(static_cast<double>(never), lacks / rate * micros_a_second)) : never;
+  out.wait =
+      rate > 0 ? static_cast<Micros>(std::min(static_cast<double>(never), lacks / rate * micros_a_second)) : never;
   return out;
 }
 
--- a/src/flow/tenants/quota_shares.h
+++ b/src/flow/tenants/quota_shares.h
@@ -1,6 +1,6 @@
 // Which nodes hand out tenants' limits, and which part each: the members of the register's set of keepers, in equal
-// parts. A set that was left behind still counts for a while, since a member that was cut off may go by it for as long as
-// its lease on the configuration lasts: until then a node hands out the smallest of the parts that it had.
+// parts. A set that was left behind still counts for a while, since a member that was cut off may go by it for as long
+// as its lease on the configuration lasts: until then a node hands out the smallest of the parts that it had.
 #pragma once
 #include <string>
 #include <vector>
--- a/src/gate/relay/relay.h
+++ b/src/gate/relay/relay.h
@@ -28,7 +28,7 @@
   std::string authorization = "Authorization";  // SCHEME KEY, by the caller
   std::string scheme = "Bearer";
   std::string tenant = "X-Pipit-Tenant";  // whose request it is, for the worker
-  std::string seal;  // a success without it is nobody's answer; empty: none is asked for
+  std::string seal;                       // a success without it is nobody's answer; empty: none is asked for
 
   // The fields that are for the other end, whatever a connection names as its own.
   std::vector<std::string> end_to_end() const { return {attempt, left, model, tokens, parts, after, seal}; }
--- a/tests/keys.cc
+++ b/tests/keys.cc
@@ -1,5 +1,5 @@
-// Keys on the path of a request: what callers without one are told, what workers see, and what happens to a request that
-// waits while its key is taken away (docs/tenants.md).
+// Keys on the path of a request: what callers without one are told, what workers see, and what happens to a request
+// that waits while its key is taken away (docs/tenants.md).
 #include <gtest/gtest.h>
 
 #include "base/invariants.h"
@@ -19,10 +19,10 @@
     configure("[{\"name\":\"weavers\",\"keys\":[\"key-1\",\"key-2\"]}]");
   }
   void configure(std::string const& tenants) {
-    Result<std::shared_ptr<Description const>> const rules = read_description(
-        "{\"format\":1,\"lanes\":[],\"pools\":[{\"name\":\"p\",\"model\":\"m\"}],\"routes\":[" + route_text("once", "") +
-        "," + route_text("safe", ",\"repeatable\":true") + "," + route_text("open", ",\"public\":true") +
-        "],\"tenants\":" + tenants + "}");
+    Result<std::shared_ptr<Description const>> const rules =
+        read_description("{\"format\":1,\"lanes\":[],\"pools\":[{\"name\":\"p\",\"model\":\"m\"}],\"routes\":[" +
+                         route_text("once", "") + "," + route_text("safe", ",\"repeatable\":true") + "," +
+                         route_text("open", ",\"public\":true") + "],\"tenants\":" + tenants + "}");
     ASSERT_TRUE(rules);
     dispatcher.in_force(rules.value());
   }
--- a/tests/tenants.cc
+++ b/tests/tenants.cc
@@ -18,7 +18,8 @@
 namespace {
 constexpr char base[] =
     "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\",\"service\":\"s\","
-    "\"timeout_ms\":1000,\"priority\":1},{\"name\":\"open\",\"host\":\"h\",\"path_prefix\":\"/open/\",\"service\":\"s\","
+    "\"timeout_ms\":1000,\"priority\":1},{\"name\":\"open\",\"host\":\"h\",\"path_prefix\":\"/open/"
+    "\",\"service\":\"s\","
     "\"timeout_ms\":1000,\"public\":true}],\"services\":[{\"name\":\"s\"}],\"tenants\":";
 
 Result<std::shared_ptr<Description const>> with_tenants(std::string const& tenants) {
@@ -66,7 +67,8 @@
 TEST(Tenants, are_read_from_a_configuration) {
   Result<std::shared_ptr<Description const>> const read = with_tenants(
       "[{\"name\":\"kaje80\",\"api_keys\":[\"one\",\"two\"],\"priority\":1,\"counting_unit\":\"by_tokens\","
-      "\"uncached_tokens\":200,\"requests_per_s\":926801,\"burst_size\":5},{\"name\":\"free\",\"api_keys\":[\"three\"]}]");
+      "\"uncached_tokens\":200,\"requests_per_s\":926801,\"burst_size\":5},{\"name\":\"free\",\"api_keys\":[\"three\"]}"
+      "]");
   ASSERT_TRUE(read) << read.error().why;
   Description const& made = *read.value();
   EXPECT_TRUE(made.keys_required);
@@ -89,8 +91,9 @@
 TEST(Tenants, are_read_in_the_products_own_language) {
   std::string const head = "{\"format\":1,\"pools\":[],\"lanes\":[],\"tenants\":";
   Result<std::shared_ptr<Description const>> const read = read_description(
-      head + "[{\"name\":\"t\",\"keys\":[\"one\"],\"rank\":2,\"counts\":\"tokens\",\"plain_tokens\":7,\"rate\":10,"
-             "\"burst\":20}]}");
+      head +
+      "[{\"name\":\"t\",\"keys\":[\"one\"],\"rank\":2,\"counts\":\"tokens\",\"plain_tokens\":7,\"rate\":10,"
+      "\"burst\":20}]}");
   ASSERT_TRUE(read) << read.error().why;
   Tenant const* const tenant = read.value()->tenant_of(key_digest_of("one"));
   ASSERT_NE(tenant, nullptr);
@@ -105,17 +108,23 @@
         "[{\"name\":\"t\",\"keys\":[\"k\"],\"rate\":1e15}]", "[{\"name\":\"t\",\"keys\":[\"k\"],\"colour\":1}]",
         "[{\"name\":\"t\",\"keys\":[\"k\"]},{\"name\":\"t\",\"keys\":[\"l\"]}]"})
     EXPECT_FALSE(read_description(head + bad + "}")) << bad;
-  EXPECT_FALSE(
-      read_description("{\"format\":1,\"pools\":[{\"name\":\"p\",\"model\":\"m\"}],\"lanes\":[{\"name\":\"l\",\"binding\":"
-                       "\"match always; pool p\"}],\"tenants\":[]}"))
+  EXPECT_FALSE(read_description(
+      "{\"format\":1,\"pools\":[{\"name\":\"p\",\"model\":\"m\"}],\"lanes\":[{\"name\":\"l\",\"binding\":"
+      "\"match always; pool p\"}],\"tenants\":[]}"))
       << "lanes would let everybody in";
 }
 
 TEST(Tenants, bad_ones_are_refused_and_no_fault_names_a_key) {
   for (char const* const bad : {
-           "7", "{}", "[7]", "[{\"name\":\"\",\"api_keys\":[\"secretkey\"]}]", "[{\"api_keys\":[\"secretkey\"]}]",
-           "[{\"name\":\"a\\r\\nb\",\"api_keys\":[\"secretkey\"]}]", "[{\"name\":\"t\",\"api_keys\":\"secretkey\"}]",
-           "[{\"name\":\"t\",\"api_keys\":[\"secretkey\",\"\"]}]", "[{\"name\":\"t\",\"api_keys\":[\"secretkey\",7]}]",
+           "7",
+           "{}",
+           "[7]",
+           "[{\"name\":\"\",\"api_keys\":[\"secretkey\"]}]",
+           "[{\"api_keys\":[\"secretkey\"]}]",
+           "[{\"name\":\"a\\r\\nb\",\"api_keys\":[\"secretkey\"]}]",
+           "[{\"name\":\"t\",\"api_keys\":\"secretkey\"}]",
+           "[{\"name\":\"t\",\"api_keys\":[\"secretkey\",\"\"]}]",
+           "[{\"name\":\"t\",\"api_keys\":[\"secretkey\",7]}]",
            "[{\"name\":\"t\",\"api_keys\":[\"secretkey\"]},{\"name\":\"t\",\"api_keys\":[\"secretkey2\"]}]",
            "[{\"name\":\"t\",\"api_keys\":[\"secretkey\"]},{\"name\":\"u\",\"api_keys\":[\"secretkey\"]}]",
            "[{\"name\":\"t\",\"api_keys\":[\"secretkey\"],\"requests_per_s\":-1}]",
@@ -145,8 +154,9 @@
 
 TEST(Tenants, ranks_go_before_those_of_routes) {
   std::shared_ptr<Description const> const made =
-      with_tenants("[{\"name\":\"a\",\"api_keys\":[\"1\"],\"priority\":1},{\"name\":\"b\",\"api_keys\":[\"2\"],"
-                   "\"priority\":4}]")
+      with_tenants(
+          "[{\"name\":\"a\",\"api_keys\":[\"1\"],\"priority\":1},{\"name\":\"b\",\"api_keys\":[\"2\"],"
+          "\"priority\":4}]")
           .value();
   Route const& second = made->routes[0];
   Route const& first = made->routes[1];
@@ -172,7 +182,8 @@
   QuotaTerms const terms = strict_terms();
   for (Tenant const& tenant : {tenant_of(36000, 36000), tenant_of(926801, 926801), tenant_of(1000, 0)}) {
     QuotaOwner owner(terms);
-    double const allowed = (static_cast<double>(tenant.rate) * 8 + static_cast<double>(tenant.burst)) * 1.1 + terms.slack;
+    double const allowed =
+        (static_cast<double>(tenant.rate) * 8 + static_cast<double>(tenant.burst)) * 1.1 + terms.slack;
     std::vector<std::pair<Micros, std::int64_t>> grants;
     // Quiet for long, then far beyond the limit.
     for (Micros now = seconds(60); now < seconds(90); now += millis(3)) {
@@ -252,7 +263,9 @@
       sum += node.share(now);
     }
     ASSERT_LE(sum, 1.0 + 1e-9) << now;
-    if (now > seconds(15) && now < seconds(20)) ASSERT_NEAR(sum, 1, 1e-9) << now;
+    if (now > seconds(15) && now < seconds(20)) {
+      ASSERT_NEAR(sum, 1, 1e-9) << now;
+    }
   }
   EXPECT_NEAR(nodes.at("a").share(seconds(60)), 1.0 / 3, 1e-9);
   EXPECT_EQ(nodes.at("e").share(seconds(60)), 0);
