--- a/src/base/kinds.h
+++ b/src/base/kinds.h
@@ -19,7 +19,7 @@
   KIND(bad_description, 400, no, 0, "the description does not pass the check")              \
   KIND(bad_language, 400, no, 0, "a binding or policy does not compile")                    \
   KIND(unknown_key, 401, no, 0, "the request bears no key that this configuration knows")   \
-  KIND(unconfirmed, 503, no, 500, "this node cannot tell whether its keys are still valid") \
+  KIND(unconfirmed, 503, no, 500, "this node cannot know whether its keys are still valid") \
   KIND(over_quota, 429, no, 1000, "the tenant's limit is reached")                          \
   KIND(no_quota, 503, no, 500, "nobody who counts the tenant's requests can be reached")    \
   KIND(not_found, 404, no, 0, "there is nothing at this path")                              \
--- a/src/flow/tenants/quota_budget.h
+++ b/src/flow/tenants/quota_budget.h
@@ -20,7 +20,7 @@
   double rate = 0;   // a second
   double depth = 0;  // that may gather while nothing is asked for
 
-  // Over all owners of the limit. In any window they grant rate x window + depth at most, which is what the terms allow
+  // Over all owners of the limit. In any window they give rate x window + depth at most, which is what the terms allow
   // less a twentieth of what they allow beyond the rate.
   static QuotaBudget of(Tenant const& tenant, QuotaTerms const& terms) {
     double const window = static_cast<double>(terms.window) / 1e6;
--- a/src/flow/tenants/quota_client.cc
+++ b/src/flow/tenants/quota_client.cc
@@ -101,7 +101,7 @@
   Ask ask = std::move(spot->second);
   asks.erase(spot);
   if (reply.granted) {
-    ask.grants.push_back(Grant{from, ask.piece});
+    ask.given.push_back(Given{from, ask.piece});
     ask.missing -= ask.piece;
     ask.tried.clear();
     ask.tried[from] = 1;
@@ -144,9 +144,9 @@
 }
 
 void QuotaClient::give_back(Ask const& ask, std::vector<OutgoingMessage>& out) {
-  for (Grant const& grant : ask.grants) {
+  for (Given const& item : ask.given) {
     ++tally.given_back;
-    out.push_back(message_to(grant.owner, question(0, ask.wanted.tenant, grant.count, QuotaPurpose::give_back)));
+    out.push_back(message_to(item.owner, question(0, ask.wanted.tenant, item.count, QuotaPurpose::give_back)));
   }
 }
 
--- a/src/flow/tenants/quota_client.h
+++ b/src/flow/tenants/quota_client.h
@@ -1,5 +1,5 @@
 // Asks for parts of tenants' limits on behalf of this node's requests. Each request asks for itself, after it came: so
-// whatever runs in a window was also granted in it. Owners are asked one after the other until one grants the whole;
+// whatever runs in a window was also granted in it. Owners are asked one after the other until one gives the whole;
 // what is more than one of them may ever have is asked for in pieces.
 #pragma once
 #include <cstdint>
@@ -64,16 +64,16 @@
   Tally tally;
 
  private:
-  struct Grant {
+  struct Given {
     std::string owner;
     std::int64_t count = 0;
   };
   struct Ask {
     QuotaRequest wanted;
     std::int64_t piece_most = 0;
-    std::vector<Grant> grants;
+    std::vector<Given> given;
     std::int64_t missing = 0;
-    std::map<std::string, int> tried;  // owners or peers since the last grant
+    std::map<std::string, int> tried;  // owners or peers since one last gave something
     std::string at;                    // who is asked now
     std::int64_t piece = 0;            // for how much
     bool through_peer = false;
--- a/src/flow/tenants/quota_owner.h
+++ b/src/flow/tenants/quota_owner.h
@@ -1,5 +1,5 @@
 // Hands out this node's part of tenants' limits. A bucket for each tenant fills at the part's rate up to the part's
-// depth; a grant takes whole what was asked for, or nothing. A process that begins has empty buckets, so what a former
+// depth; what is asked for is granted whole or not at all. A process that begins has empty buckets, so what a former
 // life granted is never granted twice.
 #pragma once
 #include <cstdint>
