The probe of a large text asks just above the limit, by its name

The probe was wrong about the number; it asks as before for the first size above the limit, by the limit's own name.

--- a/proof/scene/probes.cc
+++ b/proof/scene/probes.cc
@@ -3,6 +3,7 @@
 #include <filesystem>
 #include <fstream>
 
+#include "config/description/description.h"
 #include "proof/scene/scene.h"
 
 namespace pipit {
@@ -94,7 +95,7 @@
          fetch("PUT", http, "/v1/description",
                "{\"format\":1,\"pools\":[],\"lanes\":[{\"name\":\"l\",\"binding\":\"match always; pool q\"}]}", "1"),
          400, "$.lanes[0].binding");
-  expect("a large text", fetch("PUT", http, "/v1/description", std::string((2u << 20) + 100, ' '), "1"), 413,
+  expect("a large text", fetch("PUT", http, "/v1/description", std::string(description_limit + 100, ' '), "1"), 413,
          "too_large");
   expect("an unknown zone", fetch("POST", http, "/v1/zones/moon/empty", "", ""), 404, "unknown_zone");
   expect("an unknown change", fetch("GET", http, "/v1/changes/none", "", ""), 404, "unknown_change");
