What is unknown is refused for good only by a configuration that was just confirmed

Only configurations with tenants are concerned. The test was written with the change; it was not run against the former code.

--- a/src/core/node.cc
+++ b/src/core/node.cc
@@ -66,7 +66,7 @@
       registry(plan.name),
       exchange(plan.name),
       dispatcher(plan.name, plan.zone, index_sync, registry, exchange),
-      lease(plan.revocation),
+      lease(plan.revocation, plan.in_force),
       quota_owner(plan.quota),
       quota_client(plan.name, life_seed(plan, SeedUse::quota) >> spare_number_bits),
       owner_lease(owner_span_of(plan)),
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -49,6 +49,8 @@
   // Within which a key that was taken away must let nothing run any more, also at a node that is cut off; 0: only nodes
   // that hear of it are bound.
   Micros revocation = 0;
+  // Within which a change is in force at a node that is in touch: an older configuration refuses nothing for good.
+  Micros in_force = millis(2000);
   QuotaTerms quota;
 };
 
--- a/src/flow/dispatch/dispatcher.cc
+++ b/src/flow/dispatch/dispatcher.cc
@@ -117,7 +117,7 @@
   request.route = rules->route(request.query.host, request.query.path);
   if (request.route == nullptr) {
     // Where keys are needed a configuration that may be old refuses nothing for good.
-    bool const sure = !rules->keys_required || lease->holds(now);
+    bool const sure = !rules->keys_required || lease->certain(now);
     return sure ? deny(request, Kind::not_found, 0, now, out) : deny(request, Kind::unconfirmed, millis(300), now, out);
   }
   request.pool = rules->pool(share_turns.next(*request.route).pool);
--- a/src/flow/dispatch/tenancy.cc
+++ b/src/flow/dispatch/tenancy.cc
@@ -20,7 +20,7 @@
   if (!lease->holds(now)) return Kind::unconfirmed;
   bool const known = request.query.key && by.tenant_of(*request.query.key) != nullptr;
   if (known || request.route->is_public) return std::nullopt;
-  return Kind::unknown_key;
+  return lease->certain(now) ? Kind::unknown_key : Kind::unconfirmed;
 }
 
 bool Dispatcher::authorize(Request& request, Micros now, DispatchOut& out) {
--- a/src/flow/tenants/configuration_lease.h
+++ b/src/flow/tenants/configuration_lease.h
@@ -12,13 +12,17 @@
 
 class ConfigurationLease {
  public:
-  // 'span': for how long a confirmation holds; 0: none is needed.
-  explicit ConfigurationLease(Micros span_ = 0) : span(span_) {}
+  // 'span': for how long a confirmation holds; 0: none is needed. 'certain_span': for how long what the configuration
+  // does not know may be refused for good; 0: as long as the lease holds.
+  explicit ConfigurationLease(Micros span_ = 0, Micros certain_span_ = 0)
+      : span(span_), certain_span(certain_span_ > 0 ? certain_span_ : span_) {}
 
   // What is held here was the newest configuration at that moment.
   void confirm(Micros at) { confirmed_at = std::max(confirmed_at, at); }
   bool needed() const { return span > 0 && guard(Guard::lease); }
   bool holds(Micros now) const { return !needed() || (confirmed_at >= 0 && now - confirmed_at <= span); }
+  // Whether a key or a path that is not known is surely not in the newest configuration either.
+  bool certain(Micros now) const { return !needed() || (confirmed_at >= 0 && now - confirmed_at <= certain_span); }
   // When it was last confirmed; -1 for never.
   Micros confirmed() const { return confirmed_at; }
   // A third of it has gone by: it is time to have it confirmed again.
@@ -27,6 +31,7 @@
   bool urgent(Micros now) const { return confirmed_at < 0 || now - confirmed_at > span / 2; }
 
   Micros const span;
+  Micros const certain_span;
 
  private:
   Micros confirmed_at = -1;
--- a/tests/keys.cc
+++ b/tests/keys.cc
@@ -31,7 +31,14 @@
     dispatcher.tick(g_get_monotonic_time(), out);
     obey(out);
   }
+  // The configuration was last confirmed so long ago; it still lets requests run.
+  void age_lease(Micros age) {
+    older = std::make_unique<ConfigurationLease>(seconds(5), seconds(2));
+    older->confirm(g_get_monotonic_time() - age);
+    dispatcher.lease_on(*older);
+  }
   ConfigurationLease lease;
+  std::unique_ptr<ConfigurationLease> older;
 };
 std::string const good = "Authorization: Bearer key-1\r\n";
 }  // namespace
@@ -108,6 +115,27 @@
   EXPECT_EQ(workers.at("w1")->got(), "");
 }
 
+// A node that hears little may hold a configuration that others replaced some seconds ago: what it does not know of is
+// not refused for good.
+TEST_F(Keyed, what_is_unknown_is_refused_for_good_only_by_a_configuration_that_was_just_confirmed) {
+  worker("w1");
+  age_lease(seconds(3));
+  for (std::string const& path : {std::string("/nowhere/x"), std::string("/once/x")}) {
+    caller.reset();
+    ask("POST", path, path == "/nowhere/x" ? good : "Authorization: Bearer key-3\r\n");
+    EXPECT_TRUE(hears("HTTP/1.1 503")) << path << caller->got;
+  }
+  caller.reset();
+  ask("POST", "/once/x", good);
+  EXPECT_EQ(reached(), "w1") << "a key that is known still lets a request run";
+  wire_of("w1").send(whole_answer);
+  EXPECT_TRUE(hears("ok"));
+  age_lease(seconds(1));
+  caller.reset();
+  ask("POST", "/nowhere/x", good);
+  EXPECT_TRUE(hears("HTTP/1.1 404"));
+}
+
 TEST_F(Keyed, a_request_that_waits_for_a_worker_is_not_sent_once_its_key_is_gone) {
   ask("POST", "/once/x", good);
   EXPECT_TRUE(until([&] { return dispatcher.under_way() == 1; }));
