An answer that is under way is not given up for a full link or an unreachable worker

Changed: while several workers are busy and none is heard, no worker counts as silent; a stream is cut only where a worker that is neither full nor put aside takes it and its key may be used; a worker that is not reached needs neither an attempt nor budget; an answer that has begun waits for a worker until its caller's time is over. The log tells of a failed request how long its worker was silent, the bytes taken, passed on and waiting and for how long (505), which stream was broken off (503), and callers that did not take their last answer (508). RetryDecision held that a continuation that reached nobody needs an attempt and budget, which was the fault; it says now exactly when one goes on.

--- a/src/base/events.h
+++ b/src/base/events.h
@@ -66,6 +66,7 @@
   EVENT(505, request_failed, INFO, "a request ended without success")                                        \
   EVENT(506, request_failures_suppressed, WARNING, "failed requests beyond the log limit were only counted") \
   EVENT(507, call_rejected, INFO, "a call could not be read and was rejected")                               \
+  EVENT(508, last_answer_lost, WARNING, "a caller's connection ended before its last answer was taken")      \
   EVENT(900, fault_armed, WARNING, "a fault point was armed")                                                \
   EVENT(901, fault_fired, WARNING, "a fault point fired")                                                    \
   EVENT(910, invariant_violated, ERROR, "an invariant does not hold")
--- a/src/net/link.cc
+++ b/src/net/link.cc
@@ -12,6 +12,7 @@
 
 #include "base/events.h"
 #include "base/ip.h"
+#include "net/clock.h"
 
 namespace pipit {
 
@@ -233,6 +234,7 @@
     }
   }
   if (bytes.empty()) return;
+  if (waiting() == 0) blocked_since_ = loop_time();
   out_.append(bytes);
   want();
 }
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -35,6 +35,8 @@
   // Sends at once what the system takes; the rest goes when it can.
   void write(std::string_view bytes);
   std::size_t waiting() const { return out_.size() - sent_bytes_; }
+  // How long bytes have waited to be written without a pause; 0 when none wait.
+  Micros blocked_for(Micros now) const { return waiting() == 0 ? 0 : now - blocked_since_; }
   // Nothing is read while held; the peer feels it.
   void pause_reading(bool paused);
   // Closes without a callback. A reset tells the peer that what it got is not whole.
@@ -77,6 +79,7 @@
   std::shared_ptr<Link> own_;  // while it finishes
   std::string out_;
   std::size_t sent_bytes_ = 0;
+  Micros blocked_since_ = 0;  // since when bytes have waited; means something only while some do
   Callbacks callbacks_;
 };
 
--- a/src/net/server.cc
+++ b/src/net/server.cc
@@ -12,6 +12,11 @@
 namespace {
 constexpr std::size_t ahead_most = 65536;  // what a caller may send before its last call is answered
 Micros now() { return loop_time(); }
+
+// The end of a connection that was let go: anything but an orderly end means that a caller lacks a part of its answer.
+void log_lost_answer(std::string const& peer, Link::End how) {
+  if (how != Link::End::closed) log_event(Event::last_answer_lost, peer);
+}
 }  // namespace
 
 struct Server::Conn {
@@ -91,7 +96,8 @@
 void Server::let_go(Conn& conn) {
   std::shared_ptr<Conn> const keep = conns_[&conn];
   conns_.erase(&conn);
-  keep->link->listen({});
+  keep->link->listen(
+      {nullptr, nullptr, [peer = keep->link->peer_ip()](Link::End how) { log_lost_answer(peer, how); }, nullptr});
   keep->link->finish();
   std::erase_if(last_ones_, [](std::weak_ptr<Link> const& item) { return item.expired(); });
   if (keep->link->open()) last_ones_.push_back(keep->link);
@@ -240,9 +246,10 @@
   return conn == nullptr || conn->link->ended_by_peer();
 }
 
-std::size_t Server::waiting(std::uint64_t id) const {
+Server::Backlog Server::backlog_of(std::uint64_t id, Micros now) const {
   Conn const* const conn = conn_of(id);
-  return conn == nullptr ? 0 : conn->link->waiting();
+  if (conn == nullptr) return {};
+  return {conn->link->waiting(), conn->link->blocked_for(now)};
 }
 
 void Server::close_idle() {
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -55,8 +55,12 @@
   void break_off(std::uint64_t id);
   // Whether the caller has ended its connection, though that has not been read yet.
   bool given_up(std::uint64_t id) const;
-  // Bytes that wait for a slow caller.
-  std::size_t waiting(std::uint64_t id) const;
+  // Bytes that wait for a slow caller, and for how long some have waited without a pause.
+  struct Backlog {
+    std::size_t bytes = 0;
+    Micros blocked_for = 0;
+  };
+  Backlog backlog_of(std::uint64_t id, Micros now) const;
 
   void close_expired(Micros now);  // closes what is idle or slow for too long
   std::size_t calls() const { return by_id_.size(); }
--- a/src/routing/dispatch/dispatcher.cc
+++ b/src/routing/dispatch/dispatcher.cc
@@ -12,11 +12,12 @@
 namespace {
 constexpr Micros way_back = millis(25);    // of the caller's time, for the answer's way
 constexpr Micros time_least = millis(60);  // with less left, no other worker is tried
-constexpr int dials_most = 4;
+constexpr int dials_most = 4;              // of a request whose answer has not begun
 constexpr Micros begin_span = seconds(5);  // after its start, while what a node knows still grows
 constexpr Micros begin_wait = millis(900);
 constexpr Micros still_least = millis(300);  // between two ticks, of which there are twenty a second
 constexpr Micros quiet_least = millis(400);  // nothing from a worker for so long while several wait: it is dark
+constexpr int busy_workers_least = 3;  // nothing from so many, and from no other: it is this node that hears nobody
 }  // namespace
 
 void Dispatcher::budget(double ratio, double store) {
@@ -81,6 +82,7 @@
   out.worker = request.last_worker;
   out.progress = request.progress;
   out.open_for = now - request.arrived_at + request.query.read_for;
+  out.silent_for = request.dials > 0 ? now - request.heard : 0;
   out.remaining = request.due > 0 ? request.due - now : 0;
   out.sends = request.sends;
   out.dials = request.dials;
@@ -234,11 +236,12 @@
   traits.resumable = resumable(request);
   traits.attempts = request.sends < request.route->attempts || !guard(RequestGuard::attempts);
   traits.budget = has_retry_budget(*request.pool);
-  traits.time = now + time_least < request.due && request.dials < dials_most;
+  traits.time = has_time_to_move(request, now);
   traits.may_have_run = request.may_have_run;
   RetryDecision const decision = decide_retry(traits, progress, end);
   if (!clean && progress != AttemptProgress::none) request.may_have_run = true;
-  if (decision == RetryDecision::retry && request.sends > 0) {
+  // What was paid for the attempt before is not spent while no further worker has been reached.
+  if (decision == RetryDecision::retry && request.sends > 0 && end != AttemptEnd::unreached) {
     spend_retry_budget(*request.pool);
     if (request.begun) ++tally.resumes;
   }
@@ -251,7 +254,10 @@
       ++tally.served;
       return erase(request.id);
     case RetryDecision::retry:
-      request.give_up = std::max(request.give_up, std::min(request.due, now + request.route->latency_target / 5));
+      // An answer of which the caller has a part is worth waiting for as long as the caller does.
+      request.give_up = request.begun
+                            ? request.due
+                            : std::max(request.give_up, std::min(request.due, now + request.route->latency_target / 5));
       count_retry(request, out);
       return place_if_authorized(request, now, out);
     case RetryDecision::pass:
@@ -288,12 +294,26 @@
   return out;
 }
 
-// A node that stood still has not read what came meanwhile: that is no silence of its workers.
+// Whether several workers have requests of this node and none of them has been heard for a while. That is a sign of
+// this node's own link, which is full or cut, and not of all of them.
+bool Dispatcher::hears_no_worker(Micros now) const {
+  int busy = 0;
+  for (std::pair<std::string const, Instance> const& item : registry_.all) {
+    Instance const& worker = item.second;
+    if (worker.running == 0) continue;
+    if (now - std::max(worker.last_byte, worker.last_sent) <= quiet_least) return false;
+    ++busy;
+  }
+  return busy >= busy_workers_least;
+}
+
+// A node that stood still has not read what came meanwhile, and one that hears no worker at all cannot tell which of
+// them is silent: neither is a silence of a worker.
 void Dispatcher::note_stillness(Micros now) {
   Micros const span = now - last_tick_;
-  bool const stood_still = last_tick_ >= 0 && span > still_least;
+  bool const blind = last_tick_ >= 0 && (span > still_least || hears_no_worker(now));
   last_tick_ = now;
-  if (!stood_still) return;
+  if (!blind) return;
   for (std::pair<std::uint64_t const, std::unique_ptr<Request>> const& item : requests_)
     item.second->heard = std::min(now, item.second->heard + span);
 }
@@ -320,7 +340,7 @@
   if (now >= request.due) return expire(request, now, out);
   if (!may_move(request, now) || !worker_silent(request, now)) return;
   if (request.sends >= request.route->attempts || !has_retry_budget(*request.pool)) return;
-  if (!another_takes(request)) return;  // what is cut would only wait, and its worker may still answer
+  if (!another_is_free(request, now)) return;  // what is cut would only wait, and its worker may still answer
   ++tally.silences;
   out.cuts.push_back(request.id);
   ended(request.id, AttemptEnd::silent, false, now, out);
@@ -362,7 +382,14 @@
 bool Dispatcher::may_move(Request const& request, Micros now) const {
   if (!request.repeatable || request.progress == AttemptProgress::none || paused_) return false;
   if (request.begun && !resumable(request)) return false;
-  return now + time_least < request.due && request.dials < dials_most;
+  if (key_error(request, *rules_, now)) return false;
+  return has_time_to_move(request, now);
+}
+
+// Whether another worker would come in time. An answer that has begun is not given up for the number of workers that
+// could not be reached.
+bool Dispatcher::has_time_to_move(Request const& request, Micros now) {
+  return now + time_least < request.due && (request.begun || request.dials < dials_most);
 }
 
 // Whether the worker of the attempt under way has been silent for too long (§12.5). A worker that is merely busy is no
--- a/src/routing/dispatch/dispatcher.h
+++ b/src/routing/dispatch/dispatcher.h
@@ -90,6 +90,7 @@
   std::string worker;                                // the last one it was sent to
   AttemptProgress progress = AttemptProgress::none;  // how far that attempt came
   Micros open_for = 0;                               // since its first byte
+  Micros silent_for = 0;                             // since the last event of its attempt, or since that began
   Micros remaining = 0;                              // of its time
   int sends = 0;                                     // workers that a byte may have reached
   int dials = 0;
@@ -251,7 +252,7 @@
   static Micros read_time(std::int64_t missing, std::int64_t kept);
   void begin(Request& request, Instance& instance, std::int64_t missing, std::int64_t kept, Micros guess, bool at_home,
              Micros now, DispatchEffects& out);
-  bool another_takes(Request const& request) const;
+  bool another_is_free(Request const& request, Micros now) const;
   void release(Request& request);
   void reject(Request& request, ErrorCode kind, Micros wait, Micros now, DispatchEffects& out);
   void break_off(Request& request, Micros now, DispatchEffects& out);
@@ -263,7 +264,9 @@
   void reject_waiting(Request& request, Micros now, DispatchEffects& out);
   void expire(Request& request, Micros now, DispatchEffects& out);
   bool may_move(Request const& request, Micros now) const;
+  static bool has_time_to_move(Request const& request, Micros now);
   bool worker_silent(Request const& request, Micros now) const;
+  bool hears_no_worker(Micros now) const;
   void apply(Request& request, RetryDecision decision, Micros now, DispatchEffects& out);
   static bool resumable(Request const& request);
   void note_stillness(Micros now);
--- a/src/routing/dispatch/placement.cc
+++ b/src/routing/dispatch/placement.cc
@@ -149,12 +149,13 @@
         now, out);
 }
 
-// Whether there is a worker that it has not been sent to and that takes requests.
-bool Dispatcher::another_takes(Request const& request) const {
+// Whether there is a worker that it has not been sent to, that takes requests and that would probably not turn it away.
+bool Dispatcher::another_is_free(Request const& request, Micros now) const {
   return std::any_of(registry_.all.begin(), registry_.all.end(),
                      [&](std::pair<std::string const, Instance> const& item) {
                        Instance const& at = item.second;
-                       return at.pool == request.pool->name && at.takes() && request.attempted.count(item.first) == 0;
+                       return at.pool == request.pool->name && at.takes() && at.ejected <= now &&
+                              at.load(now) < at.slots && request.attempted.count(item.first) == 0;
                      });
 }
 
--- a/src/routing/dispatch/retry_decision.cc
+++ b/src/routing/dispatch/retry_decision.cc
@@ -7,8 +7,11 @@
 RetryDecision decide_retry(Traits const& t, AttemptProgress progress, AttemptEnd end) {
   bool const another = t.attempts && t.budget && t.time;
   if (end == AttemptEnd::complete) return RetryDecision::done;
-  if (progress == AttemptProgress::answering)
-    return t.resumable && another && end != AttemptEnd::failed ? RetryDecision::retry : RetryDecision::cut;
+  if (progress == AttemptProgress::answering) {
+    // Nothing reached a worker that cannot be reached: going past it needs no attempt of the route and no budget.
+    bool const onward = end == AttemptEnd::unreached ? t.time : another;
+    return t.resumable && onward && end != AttemptEnd::failed ? RetryDecision::retry : RetryDecision::cut;
+  }
   // Whether it may be told that it has not run: a request that may repeat loses nothing by being asked for again.
   bool const clean = t.repeatable || !t.may_have_run || !guard(Guard::honest_execution_status);
   switch (end) {
--- a/src/server/failure_log.cc
+++ b/src/server/failure_log.cc
@@ -27,13 +27,19 @@
   return false;
 }
 
-void FailureLog::write(FailedRequest const& failed, std::string const& attempt, std::string const& why, Micros now) {
+void FailureLog::write(FailedRequest const& failed, std::string const& attempt, std::string const& why,
+                       AnswerProgress const& answer, Micros now) {
   if (log_is_muted() || !affords(now)) return;
   std::string detail = "id " + attempt + " " + failed_end_name(failed.end) + " " + error_code_row(failed.kind).name +
                        " route '" + failed.route + "' held " + in_ms(failed.open_for) + " ms left " +
                        in_ms(failed.remaining) + " ms sends " + std::to_string(failed.sends) + " dials " +
                        std::to_string(failed.dials);
-  if (!failed.worker.empty()) detail += " worker " + failed.worker + " reach " + attempt_progress_name(failed.progress);
+  if (!failed.worker.empty())
+    detail += " worker " + failed.worker + " reach " + attempt_progress_name(failed.progress) + " silent " +
+              in_ms(failed.silent_for) + " ms";
+  if (answer.taken_bytes > 0)
+    detail += " taken " + std::to_string(answer.taken_bytes) + " B passed " + std::to_string(answer.passed_bytes) +
+              " B waiting " + std::to_string(answer.waiting_bytes) + " B for " + in_ms(answer.blocked_for) + " ms";
   if (!why.empty()) detail += " last: " + why;
   log_event(Event::request_failed, detail);
 }
--- a/src/server/failure_log.h
+++ b/src/server/failure_log.h
@@ -7,10 +7,19 @@
 
 namespace pipit {
 
+// How far the bytes of an answer came.
+struct AnswerProgress {
+  std::uint64_t taken_bytes = 0;    // of its body, from workers
+  std::uint64_t passed_bytes = 0;   // of those, written to the caller
+  std::uint64_t waiting_bytes = 0;  // written, but not yet taken by the caller's connection
+  Micros blocked_for = 0;           // for how long some have waited
+};
+
 class FailureLog {
  public:
   // 'attempt' is the id that the caller gave; 'why' is how its last attempt ended, empty when there was none.
-  void write(FailedRequest const& failed, std::string const& attempt, std::string const& why, Micros now);
+  void write(FailedRequest const& failed, std::string const& attempt, std::string const& why,
+             AnswerProgress const& answer, Micros now);
 
  private:
   bool affords(Micros now);
--- a/src/server/request_proxy.cc
+++ b/src/server/request_proxy.cc
@@ -167,7 +167,10 @@
 void RequestProxy::log_failure(FailedRequest const& failed) {
   std::map<std::uint64_t, Caller>::const_iterator const position = callers_.find(failed.request);
   if (position == callers_.end()) return;
-  failure_log_.write(failed, position->second.attempt, position->second.failure, now());
+  Caller const& caller = position->second;
+  Server::Backlog const backlog = server.backlog_of(failed.request, now());
+  AnswerProgress const answer{caller.taken_bytes, caller.passed_bytes, backlog.bytes, backlog.blocked_for};
+  failure_log_.write(failed, caller.attempt, caller.failure, answer, now());
 }
 
 bool RequestProxy::may_repeat(std::uint64_t id) const {
@@ -194,7 +197,8 @@
   }
   for (Denial const& denial : out.denials) reject(denial);
   for (std::uint64_t const id : out.breaks) {
-    log_event(Event::stream_broken, "");
+    std::map<std::uint64_t, Caller>::const_iterator const position = callers_.find(id);
+    log_event(Event::stream_broken, position == callers_.end() ? "" : position->second.attempt);
     callers_.erase(id);
     server.break_off(id);
   }
@@ -349,6 +353,7 @@
   } else {
     dispatcher_.event(id, now());
   }
+  caller.passed_bytes += bytes.size();
   server.write_chunk(id, bytes);
 }
 
@@ -357,6 +362,7 @@
   if (position == callers_.end()) return;
   Caller& caller = position->second;
   if (caller.declined) return;
+  caller.taken_bytes += bytes.size();
   if (caller.failing) {
     // What is too large to hold can't go back whole, and must not go back in part.
     if (caller.pending.size() + bytes.size() > failing_most) caller.withheld = true;
--- a/src/server/request_proxy.h
+++ b/src/server/request_proxy.h
@@ -65,15 +65,17 @@
     bool declined = false;
     bool elsewhere = false;
     bool failing = false;
-    bool withheld = false;   // a failure that can't go back: too large, or its status promises what was not said
-    bool unbounded = false;  // the answer has neither length nor chunks and ends with its connection
-    bool begun = false;      // the answer's head has gone to the caller
-    Head answer;             // of the worker, to go with the first bytes
-    std::string tail;        // the last bytes of a stream without bounds
-    std::string pending;     // a failing answer's body, or the beginning of an event that is not whole
-    std::string last_event;  // id of the last event that was passed on
-    bool spliced = false;    // an event of the present attempt was passed on
-    std::string failure;     // why its last attempt ended
+    bool withheld = false;          // a failure that can't go back: too large, or its status promises what was not said
+    bool unbounded = false;         // the answer has neither length nor chunks and ends with its connection
+    bool begun = false;             // the answer's head has gone to the caller
+    Head answer;                    // of the worker, to go with the first bytes
+    std::string tail;               // the last bytes of a stream without bounds
+    std::string pending;            // a failing answer's body, or the beginning of an event that is not whole
+    std::string last_event;         // id of the last event that was passed on
+    bool spliced = false;           // an event of the present attempt was passed on
+    std::string failure;            // why its last attempt ended
+    std::uint64_t taken_bytes = 0;  // of answers' bodies, from workers
+    std::uint64_t passed_bytes = 0;  // of those, written to the caller
     // Attempts of which a byte may have left, and those of them that their workers say they did not run.
     int sent = 0;
     int declined_count = 0;
