What waits for peers is bounded, and a node that is behind asks one peer once

Cause, from counts of frames by kind (new event 206): in their busiest seconds small machines receive and send whole values. Up to 64 MB could wait for each peer, and closed connections kept theirs for 30 s; all nodes that were behind asked the peer whose name sorts last, each 0.3 s and for each patch with another base; a fetched value that took longer than the next poll was thrown away. Changed: Connections bounds what waits (1 MiB a peer and a frame, 16 MiB in all, 64 KiB of a closed one); CatchUp keeps early patches and asks one peer at a time, replicas of the zone first; a fetch of the learner outlives further polls. Frames and bytes by kind are metrics of both hosts.

--- a/src/consensus/register/learner.cc
+++ b/src/consensus/register/learner.cc
@@ -7,6 +7,11 @@
 
 namespace pipit {
 
+namespace {
+// How long the value of a fetch may take to come: the largest description over a thin link that others use as well.
+constexpr Micros fetch_timeout = seconds(2);
+}  // namespace
+
 bool Learner::adopt(wire::ValueT const& chosen, Micros now) {
   // Every change raises the revision, and those of operators the serial with it.
   if (value && value->revision == chosen.revision) check_agreement(chosen);
@@ -50,7 +55,6 @@
   poll_replies_.clear();
   poll_memberships_.clear();
   if (!membership_.empty()) poll_memberships_[membership_.fingerprint()] = membership_;
-  value_to_fetch_.reset();
   for (std::string const& name : replicas) {
     wire::ReadRequestT request;
     request.request_id = request_id_;
@@ -134,22 +138,26 @@
     confirmed_at = std::max(confirmed_at, poll_sent_at_);
     return std::nullopt;
   }
-  if (!value_to_fetch_) fetch_value(from, poll_reply, out);
+  fetch_value(from, poll_reply.ballot, now, out);
   return std::nullopt;
 }
 
 std::optional<wire::ValueT> Learner::handle_fetched_value(wire::ReadReplyT const& reply, Micros now) {
-  if (!value_to_fetch_ || reply.request_id != request_id_ || !same(reply.ballot, value_to_fetch_->ballot))
-    return std::nullopt;
+  if (!fetch_ || reply.request_id != fetch_->request_id) return std::nullopt;
+  Fetch const fetch = *fetch_;
+  fetch_.reset();
+  if (!same(reply.ballot, fetch.ballot)) return std::nullopt;  // the replica has accepted another value meanwhile
   // A quorum agreed on this ballot, so this is the value that was chosen.
-  value_to_fetch_.reset();
-  confirmed_at = std::max(confirmed_at, poll_sent_at_);
-  if (adopt(*reply.value, now)) return *reply.value;
+  bool const fresh = adopt(*reply.value, now);
+  if (value && value->revision == reply.value->revision) confirmed_at = std::max(confirmed_at, fetch.poll_sent_at);
+  if (fresh) return *reply.value;
   return std::nullopt;
 }
 
-void Learner::fetch_value(std::string const& from, PollReply const& chosen, std::vector<OutgoingMessage>& out) {
-  value_to_fetch_ = chosen;
+void Learner::fetch_value(std::string const& from, wire::Ballot const& ballot, Micros now,
+                          std::vector<OutgoingMessage>& out) {
+  if (fetch_ && now - fetch_->asked_at < fetch_timeout) return;
+  fetch_ = Fetch{request_id_, ballot, poll_sent_at_, now};
   wire::ReadRequestT request;
   request.request_id = request_id_;
   request.full = true;
--- a/src/consensus/register/learner.h
+++ b/src/consensus/register/learner.h
@@ -75,8 +75,8 @@
   void replace(wire::ValueT next, Micros now);
   // Takes the value that was fetched, if it is the one that a quorum agreed on.
   std::optional<wire::ValueT> handle_fetched_value(wire::ReadReplyT const& reply, Micros now);
-  // Asks this replica for the value of its ballot, which a quorum has accepted; once in a poll.
-  void fetch_value(std::string const& from, PollReply const& chosen, std::vector<OutgoingMessage>& out);
+  // Asks this replica for the value of its ballot, which a quorum has accepted, unless a fetch is under way.
+  void fetch_value(std::string const& from, wire::Ballot const& ballot, Micros now, std::vector<OutgoingMessage>& out);
   // The replicas that replied to the present poll with this ballot.
   Voters replicas_at(wire::Ballot const& ballot) const;
   Membership const* members_of(PollReply const& poll_reply) const;
@@ -90,7 +90,15 @@
   std::uint64_t request_id_;
   Micros poll_sent_at_ = 0;
   std::map<std::string, PollReply> poll_replies_;  // to the present poll, by replica
-  std::optional<PollReply> value_to_fetch_;        // chosen by count, its value still to be fetched
+  // A value that a quorum of a poll agreed on, and that one replica was asked for. It may take longer to come than a
+  // poll: further polls neither ask for it again nor make its reply void.
+  struct Fetch {
+    std::uint64_t request_id = 0;
+    wire::Ballot ballot;
+    Micros poll_sent_at = 0;  // of the poll that agreed on it
+    Micros asked_at = 0;
+  };
+  std::optional<Fetch> fetch_;
   // The newest revision that a quorum of a poll knew, and when that poll was sent: nothing older was chosen later.
   std::uint64_t quorum_revision_ = 0;
   Micros quorum_at_ = -1;
--- a/src/mesh/frame.cc
+++ b/src/mesh/frame.cc
@@ -17,6 +17,10 @@
   return size >= 8 && size <= frame_limit ? size : 0;
 }
 
+wire::Body kind_of(std::string_view bytes) {
+  return flatbuffers::GetSizePrefixedRoot<wire::Frame>(bytes.data())->body_type();
+}
+
 Result<std::unique_ptr<wire::FrameT>> decode(std::string_view bytes) {
   std::size_t const size = announced(bytes);
   if (size == 0 || size + 4 != bytes.size()) return fail(ErrorCode::bad_request, "the frame's length is wrong");
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -24,6 +24,8 @@
 
 // The length that the first four bytes announce, or 0 when it is not to be believed.
 std::size_t announced(std::string_view head);
+// The kind of a whole frame with its four bytes of length that this process encoded or that was decoded already.
+wire::Body kind_of(std::string_view bytes);
 // Takes one whole frame with its four bytes of length.
 Result<std::unique_ptr<wire::FrameT>> decode(std::string_view bytes);
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -92,6 +92,7 @@
       router_registrations_({plan.name, plan.address, plan.role == Role::router, !plan.registered}, mesh, learner),
       list_freshness_(mesh),
       exchange_topology_({plan.name, plan.zone, plan.replica}, mesh),
+      catch_up_(plan.name, plan.zone, mesh),
       configuration_authority_({plan.revocation, plan.in_force, owner_span_of(plan)}, mesh, learner, peer_rotation_,
                                [this] { return ++next_request_id_; }),
       quota_authority_(quota_plan_of(plan, recovered),
@@ -318,23 +319,32 @@
   proposer.adopt_membership(learner.membership());
   if (update.hops > 0) forward(update, out);
   if (learner.revision() < revision) {
-    // The patch has another base than what is held here: the whole value is asked for, and confirmed when it comes.
-    wire::CatchUpRequestT ask;
-    ask.revision = learner.revision();
-    ask.request_id = update.request_id;
-    ask.origin = update.origin.empty() ? from : update.origin;
-    outgoing.push_back(message_to(from, std::move(ask)));
+    // The patch has another base than what is held here. The base may be on its way on another connection.
+    catch_up_.keep(from, update, now);
     return;
   }
+  confirm_value(from, update, outgoing);
+  apply_early_patches(now, outgoing, out);
+  update_readiness(now, out);
+}
+
+void Node::apply_early_patches(Micros now, std::vector<OutgoingMessage>& outgoing, NodeEffects& out) {
+  while (std::optional<CatchUp::EarlyPatch> const early = catch_up_.take_next(learner.revision())) {
+    if (learner.adopt(*early->update.patch, now)) after_value(now, out);
+    std::uint64_t const revision = early->update.patch->rest ? early->update.patch->rest->revision : 0;
+    if (learner.revision() >= revision) confirm_value(early->from, early->update, outgoing);
+  }
+}
+
+void Node::confirm_value(std::string const& from, wire::ChosenT const& update, std::vector<OutgoingMessage>& outgoing) {
+  if (update.request_id == 0) return;
   wire::ChosenAckT ok;
   ok.request_id = update.request_id;
   ok.serial = learner.serial();
   // Router nodes that hold no registration may serve by this node's word alone (§6.7): who asks must hear of them.
   for (std::string const& name : plan.registered ? std::set<std::string>() : routers(true))
     if (!learner.value || registration_of(*learner.value, name) == nullptr) ok.routers.push_back(name);
-  if (update.request_id != 0)
-    outgoing.push_back(message_to(update.origin.empty() ? from : update.origin, std::move(ok)));
-  update_readiness(now, out);
+  outgoing.push_back(message_to(update.origin.empty() ? from : update.origin, std::move(ok)));
 }
 
 void Node::send_whole(std::string const& to, wire::CatchUpRequestT const& ask,
@@ -381,6 +391,7 @@
 // The value held here grew newer: it comes into force.
 void Node::after_value(Micros now, NodeEffects& out) {
   wire::ValueT const& value = *learner.value;
+  catch_up_.value_came();
   check_value(value);
   // A registration raises the revision alone; what the description says was compiled when its serial came.
   if (value.serial != mesh.members.self.serial) {
@@ -536,6 +547,7 @@
   }
   if (acceptor)
     if (std::optional<wire::RecordT> save = acceptor->step(outgoing)) out.save = std::move(save);
+  apply_early_patches(now, outgoing, out);
   ask_newer(now, outgoing);
   proposer.adopt_membership(learner.membership());
   proposer.suggest_membership(learner.newest_seen_membership());
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -17,6 +17,7 @@
 #include "routing/chat/chat_dispatcher.h"
 #include "routing/registry/registry.h"
 #include "mesh/mesh.h"
+#include "node/catch_up.h"
 #include "node/change_forwarder.h"
 #include "node/node_effects.h"
 #include "node/node_plan.h"
@@ -125,6 +126,10 @@
               NodeEffects& out);
   void take_chosen(std::string const& from, wire::ChosenT const& update, Micros now,
                    std::vector<OutgoingMessage>& outgoing, NodeEffects& out);
+  // Applies patches that came before their base, as far as that is held by now.
+  void apply_early_patches(Micros now, std::vector<OutgoingMessage>& outgoing, NodeEffects& out);
+  // Tells who spread a value that this node holds it.
+  void confirm_value(std::string const& from, wire::ChosenT const& update, std::vector<OutgoingMessage>& outgoing);
   void send_whole(std::string const& to, wire::CatchUpRequestT const& ask,
                   std::vector<OutgoingMessage>& outgoing) const;
   void settle(std::uint64_t id, Change const& change, Outcome const& outcome, Micros now, NodeEffects& out);
@@ -208,6 +213,7 @@
   ListFreshness list_freshness_;
   ExchangeTopology exchange_topology_;
   PeerRotation peer_rotation_;
+  CatchUp catch_up_;
   ConfigurationAuthority configuration_authority_;
   QuotaAuthority quota_authority_;
   struct OpenCall {  // of an operator, until it is answered
--- a/src/node/seats.cc
+++ b/src/node/seats.cc
@@ -1,4 +1,6 @@
 // Registrations of router nodes in the register (§5.9), and how old a node's knowledge of the list is (§4.3).
+#include <algorithm>
+
 #include "base/events.h"
 #include "base/guards.h"
 #include "consensus/register/router_registrations.h"
@@ -20,22 +22,23 @@
   if (router_registrations_.apply_register(now, out.mesh)) update_hold();
 }
 
-// §5.5: a peer announces a newer revision than is held here, and no push or poll has brought it: the peer itself is
-// asked, so that a chosen value gets round though its proposer and the replicas are gone.
+// §5.5: peers announce a newer revision than is held here, or a patch waits for its base, and no push or poll has
+// brought it: one of them is asked, so that a chosen value gets round though its proposer and the replicas are gone.
 void Node::ask_newer(Micros now, std::vector<OutgoingMessage>& outgoing) {
-  std::string from;
-  for (std::pair<std::string const, Peer> const& item : mesh.members.peers)
-    if (item.second.connection != 0 && item.second.member.revision > learner.revision()) from = item.first;
-  if (from.empty() || !guard(Guard::spread)) {
-    behind_since_ = -1;
-  } else if (behind_since_ < 0) {
-    behind_since_ = now;
-  } else if (now - behind_since_ > behind_gap) {
-    behind_since_ = now;
-    wire::CatchUpRequestT ask;
-    ask.revision = learner.revision();
-    outgoing.push_back(message_to(from, std::move(ask)));
-  }
+  bool const behind = std::any_of(
+      mesh.members.peers.begin(), mesh.members.peers.end(), [this](std::pair<std::string const, Peer> const& item) {
+        return item.second.connection != 0 && item.second.member.revision > learner.revision();
+      });
+  if (!guard(Guard::spread)) return;
+  if (!behind) behind_since_ = -1;
+  if (behind && behind_since_ < 0) behind_since_ = now;
+  bool const overdue = behind && now - behind_since_ > behind_gap;
+  if (!overdue && !catch_up_.is_stuck(now)) return;
+  std::string const peer = catch_up_.next_peer(learner.revision(), now);
+  if (peer.empty()) return;
+  wire::CatchUpRequestT ask;
+  ask.revision = learner.revision();
+  outgoing.push_back(message_to(peer, std::move(ask)));
 }
 
 void Node::update_hold() {
--- a/src/runtime/mesh/connections.cc
+++ b/src/runtime/mesh/connections.cc
@@ -1,12 +1,18 @@
 #include "runtime/mesh/connections.h"
 
+#include "base/events.h"
 #include "base/ip.h"
 #include "mesh/frame.h"
 
 namespace pipit {
 
 namespace {
-constexpr std::size_t backlog_most = 64u << 20;
+// Bytes that wait for one peer, beyond which nothing is added, and for all peers together. A frame may be larger than
+// the first; the second leaves room for two of the largest.
+constexpr std::size_t connection_backlog_limit = 1u << 20;
+constexpr std::size_t total_backlog_limit = 2 * frame_limit;
+// What may still be taken of a connection that is being closed: farewells and what stood before them.
+constexpr std::size_t closing_backlog_limit = 64u << 10;
 constexpr Micros dial_most = seconds(1);
 }  // namespace
 
@@ -91,9 +97,44 @@
 void Connections::send(ConnectionId id, std::string const& bytes) {
   std::map<ConnectionId, std::shared_ptr<Connection>>::iterator const position = connections_.find(id);
   if (position == connections_.end() || !position->second->link->connected()) return;
+  std::size_t const waiting = position->second->link->waiting();
+  // A peer that takes so little has fallen behind for good: it is dialled again and told anew.
+  if (waiting > connection_backlog_limit) return drop_overfull(id);
   position->second->link->write(bytes);
-  // The peer does not read; it is dialled again.
-  if (position->second->link->waiting() > backlog_most) lost(id, Link::End::reset);
+  if (waiting > 0 && backlog_bytes() > total_backlog_limit) drop_overfull(largest_backlog());
+}
+
+std::size_t Connections::backlog_of(ConnectionId id) const {
+  std::map<ConnectionId, std::shared_ptr<Connection>>::const_iterator const position = connections_.find(id);
+  return position == connections_.end() ? 0 : position->second->link->waiting();
+}
+
+void Connections::drop_overfull(ConnectionId id) {
+  std::map<ConnectionId, std::shared_ptr<Connection>>::const_iterator const position = connections_.find(id);
+  if (position == connections_.end()) return;
+  Link const& link = *position->second->link;
+  log_event(Event::peer_backlog_dropped, link.peer_ip() + " " + std::to_string(link.waiting()));
+  lost(id, Link::End::reset);
+}
+
+ConnectionId Connections::largest_backlog() const {
+  ConnectionId out = 0;
+  std::size_t most = 0;
+  for (std::pair<ConnectionId const, std::shared_ptr<Connection>> const& item : connections_) {
+    if (item.second->link->waiting() <= most) continue;
+    most = item.second->link->waiting();
+    out = item.first;
+  }
+  return out;
+}
+
+std::size_t Connections::backlog_bytes() const {
+  std::size_t out = 0;
+  for (std::pair<ConnectionId const, std::shared_ptr<Connection>> const& item : connections_)
+    out += item.second->link->waiting();
+  for (std::weak_ptr<Link> const& item : closing_)
+    if (std::shared_ptr<Link> const link = item.lock()) out += link->waiting();
+  return out;
 }
 
 void Connections::shut(ConnectionId id) {
@@ -102,8 +143,11 @@
   std::shared_ptr<Connection> const keep = position->second;
   connections_.erase(position);
   keep->link->listen({});
-  // What was written before, a farewell perhaps, still goes.
+  // What was written before, a farewell perhaps, still goes; but a peer that took nothing is not waited for.
+  if (keep->link->waiting() > closing_backlog_limit) return keep->link->close();
   keep->link->finish();
+  std::erase_if(closing_, [](std::weak_ptr<Link> const& item) { return item.expired(); });
+  if (keep->link->open()) closing_.push_back(keep->link);
 }
 
 void Connections::lost(ConnectionId id, Link::End how) {
--- a/src/runtime/mesh/connections.h
+++ b/src/runtime/mesh/connections.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/error.h"
 #include "net/link.h"
@@ -27,6 +28,10 @@
   void send(ConnectionId id, std::string const& bytes);
   void shut(ConnectionId id);
 
+  // Bytes that wait for peers to take them, those of connections that are being closed included.
+  std::size_t backlog_bytes() const;
+  std::size_t backlog_of(ConnectionId id) const;
+
  private:
   struct Connection {
     ConnectionId id = 0;
@@ -37,12 +42,15 @@
   void adopt(std::shared_ptr<Connection> const& connection, bool outbound);
   void fed(Connection& connection, std::string_view bytes);
   void lost(ConnectionId id, Link::End how);
+  void drop_overfull(ConnectionId id);
+  ConnectionId largest_backlog() const;
 
   Callbacks callbacks_;
   Door door_;
   std::string own_host_;
   ConnectionId next_ = 0;
   std::map<ConnectionId, std::shared_ptr<Connection>> connections_;
+  std::vector<std::weak_ptr<Link>> closing_;  // that still have a farewell to send
 };
 
 }  // namespace pipit
--- /dev/null
+++ b/src/runtime/mesh/frame_traffic.cc
@@ -0,0 +1,81 @@
+#include "runtime/mesh/frame_traffic.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "base/events.h"
+
+namespace pipit {
+
+namespace {
+constexpr Micros look_interval = seconds(1);
+constexpr std::uint64_t busy_second_bytes = 256u << 10;  // received or sent
+constexpr std::size_t kinds_logged = 4;
+}  // namespace
+
+void FrameTraffic::add(Counts& counts, wire::Body kind, std::size_t bytes) {
+  std::size_t const position = static_cast<std::size_t>(kind);
+  if (position >= counts.size()) return;  // a kind of a later version
+  ++counts[position].frames;
+  counts[position].bytes += bytes;
+}
+
+std::map<std::string, std::uint64_t> FrameTraffic::by_kind(Counts const& counts, std::uint64_t Count::*figure) {
+  std::map<std::string, std::uint64_t> out;
+  for (std::size_t position = 0; position < counts.size(); ++position) {
+    if (counts[position].frames == 0) continue;
+    out[wire::EnumNameBody(static_cast<wire::Body>(position))] = counts[position].*figure;
+  }
+  return out;
+}
+
+std::string FrameTraffic::largest_kinds(Counts const& now, Counts const& before) {
+  struct Row {
+    std::uint64_t bytes;
+    std::uint64_t frames;
+    wire::Body kind;
+  };
+  std::vector<Row> rows;
+  std::uint64_t total = 0;
+  for (std::size_t position = 0; position < now.size(); ++position) {
+    std::uint64_t const bytes = now[position].bytes - before[position].bytes;
+    total += bytes;
+    if (bytes > 0)
+      rows.push_back({bytes, now[position].frames - before[position].frames, static_cast<wire::Body>(position)});
+  }
+  std::sort(rows.begin(), rows.end(), [](Row const& a, Row const& b) { return a.bytes > b.bytes; });
+  rows.resize(std::min(rows.size(), kinds_logged));
+  std::string out = std::to_string(total) + " B:";
+  for (Row const& row : rows)
+    out += std::string(" ") + wire::EnumNameBody(row.kind) + " " + std::to_string(row.bytes) + " B in " +
+           std::to_string(row.frames);
+  return out;
+}
+
+void FrameTraffic::log_busy_second(Micros now) {
+  if (looked_at_ >= 0 && now - looked_at_ < look_interval) return;
+  bool const busy = total_bytes(received_) - total_bytes(received_before_) > busy_second_bytes ||
+                    total_bytes(sent_) - total_bytes(sent_before_) > busy_second_bytes;
+  if (busy && looked_at_ >= 0)
+    log_event(Event::mesh_traffic_high, "received " + largest_kinds(received_, received_before_) + "; sent " +
+                                            largest_kinds(sent_, sent_before_) + "; in " +
+                                            std::to_string((now - looked_at_) / 1000) + " ms");
+  looked_at_ = now;
+  received_before_ = received_;
+  sent_before_ = sent_;
+}
+
+std::uint64_t FrameTraffic::total_bytes(Counts const& counts) {
+  std::uint64_t out = 0;
+  for (Count const& count : counts) out += count.bytes;
+  return out;
+}
+
+void FrameTraffic::write(MetricsText& text) const {
+  text.counters("pipit_frame_bytes_total", "frame", by_kind(sent_, &Count::bytes));
+  text.counters("pipit_frames_sent_total", "frame", by_kind(sent_, &Count::frames));
+  text.counters("pipit_frame_received_bytes_total", "frame", by_kind(received_, &Count::bytes));
+  text.counters("pipit_frames_received_total", "frame", by_kind(received_, &Count::frames));
+}
+
+}  // namespace pipit
--- a/src/runtime/router_host.cc
+++ b/src/runtime/router_host.cc
@@ -58,6 +58,7 @@
     if (settings_.faults && dropped_in(id, frame)) return true;
     NodeEffects out;
     bool const good = node_->bytes(id, frame, now(), out);
+    if (good) traffic_.count_received(kind_of(frame), frame.size());
     act(out);
     return good;
   };
@@ -181,7 +182,7 @@
     if (settings_.faults && dropped_out(send.connection, send.bytes)) continue;
     connection_bytes_ += send.bytes.size();
     mesh_to_[node_->mesh.zone_of(send.connection)] += send.bytes.size();
-    frame_bytes_[flatbuffers::GetSizePrefixedRoot<wire::Frame>(send.bytes.data())->body_type()] += send.bytes.size();
+    traffic_.count_sent(kind_of(send.bytes), send.bytes.size());
     if (settings_.faults && fires(FaultPoint::frame_corrupted))
       for (std::size_t i = 4; i < send.bytes.size(); ++i) send.bytes[i] = static_cast<char>(send.bytes[i] ^ 0x5a);
     connections_->send(send.connection, send.bytes);
@@ -331,6 +332,7 @@
               std::max(host.longest_turn_, static_cast<std::uint64_t>(std::max<Micros>(0, gap - millis(tick_ms))));
         host.ticked_ = now();
         host.node_->tick(now(), out);
+        host.traffic_.log_busy_second(now());
         host.act(out);
         host.check_drain();
         return G_SOURCE_CONTINUE;
--- a/src/runtime/router_host.h
+++ b/src/runtime/router_host.h
@@ -10,6 +10,7 @@
 #include "runtime/http/chat_server.h"
 #include "runtime/http/chat_upstream.h"
 #include "runtime/mesh/connections.h"
+#include "runtime/mesh/frame_traffic.h"
 
 namespace pipit {
 
@@ -63,8 +64,8 @@
   Micros ticked_ = 0;
   std::uint64_t longest_turn_ = 0;
   std::uint64_t connection_bytes_ = 0;
-  std::map<std::string, std::uint64_t> mesh_to_;        // bytes sent to nodes, by their zone
-  std::map<wire::Body, std::uint64_t> frame_bytes_;     // bytes sent to nodes, by the kind of frame
+  std::map<std::string, std::uint64_t> mesh_to_;  // bytes sent to nodes, by their zone
+  FrameTraffic traffic_;
   std::map<std::string, std::uint64_t> attempts_with_;  // bytes of requests and answers, by the worker's zone
   Micros grace_until_ = -1;
   Micros drain_until_ = -1;
--- a/src/runtime/status.cc
+++ b/src/runtime/status.cc
@@ -53,15 +53,6 @@
   return json.take();
 }
 
-namespace {
-std::map<std::string, std::uint64_t> by_frame(std::map<wire::Body, std::uint64_t> const& bytes) {
-  std::map<std::string, std::uint64_t> out;
-  for (std::pair<wire::Body const, std::uint64_t> const& item : bytes)
-    out[wire::EnumNameBody(item.first)] = item.second;
-  return out;
-}
-}  // namespace
-
 std::string RouterHost::metrics() const {
   Tally const& t = node_->chat_dispatcher.tally;
   MetricsText text;
@@ -89,7 +80,8 @@
   text.gauge("pipit_under_way", node_->under_way());
   text.gauge("pipit_wires", node_->mesh.open_connections());
   text.counters("pipit_mesh_bytes_total", "zone", mesh_to_);
-  text.counters("pipit_frame_bytes_total", "frame", by_frame(frame_bytes_));
+  text.gauge("pipit_mesh_backlog_bytes", connections_->backlog_bytes());
+  traffic_.write(text);
   text.counters("pipit_leg_bytes_total", "zone", attempts_with_);
   text.counters("pipit_answers_total", "kind", kinds_);
   text.invariants();
--- a/src/server/node_server.cc
+++ b/src/server/node_server.cc
@@ -72,6 +72,7 @@
   we.frame = [this](ConnectionId id, std::string_view frame) {
     NodeEffects out;
     bool const good = node_->bytes(id, frame, now(), out);
+    if (good) traffic_.count_received(kind_of(frame), frame.size());
     act(out);
     return good;
   };
@@ -124,8 +125,10 @@
 void NodeServer::act(NodeEffects& out) {
   if (out.save && disk_) disk_->save(std::move(*out.save));
   for (std::string const& address : out.mesh.dial_addresses) connections_->dial(address);
-  for (ConnectionEffects::OutgoingFrame& send : out.mesh.outgoing_frames)
+  for (ConnectionEffects::OutgoingFrame const& send : out.mesh.outgoing_frames) {
+    traffic_.count_sent(kind_of(send.bytes), send.bytes.size());
     connections_->send(send.connection, send.bytes);
+  }
   for (ConnectionId const id : out.mesh.closed_connections) connections_->shut(id);
   if (!out.dispatch.empty()) proxy_->act(out.dispatch);
   std::vector<Reply> const replies = std::move(out.replies);
@@ -257,6 +260,7 @@
   NodeEffects out;
   node_->tick(at, out);
   act(out);
+  traffic_.log_busy_second(at);
   if (at >= next_cleanup_) {
     next_cleanup_ = at + millis(500);
     proxy_->close_expired(at);
--- a/src/server/node_server.h
+++ b/src/server/node_server.h
@@ -10,6 +10,7 @@
 #include "server/request_proxy.h"
 #include "runtime/disk/disk_task.h"
 #include "runtime/mesh/connections.h"
+#include "runtime/mesh/frame_traffic.h"
 
 using GMainLoop = struct _GMainLoop;
 
@@ -85,6 +86,7 @@
   GMainLoop* loop_;
   std::unique_ptr<Node> node_;
   std::unique_ptr<Connections> connections_;
+  FrameTraffic traffic_;
   std::unique_ptr<RequestProxy> proxy_;
   std::unique_ptr<Server> control_server_;
   std::unique_ptr<Server> ready_server_;
--- a/src/server/node_server_status.cc
+++ b/src/server/node_server_status.cc
@@ -159,6 +159,8 @@
   text.gauge("pipit_callers", proxy_->server.connections());
   text.gauge("pipit_orders_under_way", asked_.size());
   text.gauge("pipit_wires", node_->mesh.open_connections());
+  text.gauge("pipit_mesh_backlog_bytes", connections_->backlog_bytes());
+  traffic_.write(text);
   text.gauges("pipit_peers", "state", peers_by_state(*node_));
   text.gauges("pipit_workers", "standing", workers_by_standing(*node_));
   text.gauge("pipit_configuration_confirmed_ms_ago", age_ms(node_->key_lease().confirmed(), now()));
--- a/testing/register_model_checker/register_view.cc
+++ b/testing/register_model_checker/register_view.cc
@@ -237,8 +237,11 @@
     replies.member(one);
   }
   out.part(replies);
-  out.number(learner.value_to_fetch_ ? 1 : 0);
-  if (learner.value_to_fetch_) add(out, learner.value_to_fetch_->ballot);
+  out.number(learner.fetch_ ? 1 : 0);
+  if (learner.fetch_) {
+    out.number(learner.fetch_->request_id);
+    add(out, learner.fetch_->ballot);
+  }
   return out;
 }
 
@@ -255,7 +258,9 @@
 
 bool is_late(Learner const& learner, wire::BodyUnion const& body) {
   wire::ReadReplyT const* const ans = body.AsReadReply();
-  return ans != nullptr && ans->request_id != learner.request_id_;
+  if (ans == nullptr) return false;
+  if (ans->value) return !learner.fetch_ || ans->request_id != learner.fetch_->request_id;
+  return ans->request_id != learner.request_id_;
 }
 
 void tell_members(Proposer& proposer, Learner const& learner) { proposer.adopt_membership(learner.membership()); }
--- a/tests/register.cc
+++ b/tests/register.cc
@@ -452,6 +452,43 @@
   EXPECT_EQ(learner.confirmed_at, seconds(5));
 }
 
+// A large value over a thin link takes longer than the span of a poll. It was thrown away then, and asked for again.
+TEST(Learning, a_value_that_comes_after_further_polls_is_taken_and_asked_for_once) {
+  Cluster cluster(members_of(2, {"k1", "k2", "k3"}));
+  cluster.ask("p1", cluster.apply("A", 0, 1), {"k1", "k2", "k3"});
+  Learner learner;
+  std::vector<std::string> const replicas{"k1", "k2", "k3"};
+  std::vector<OutgoingMessage> fetches;
+  for (Micros now = seconds(5); now < seconds(7); now += millis(500)) {
+    std::vector<OutgoingMessage> asks;
+    learner.poll(now, replicas, -1, asks);
+    for (OutgoingMessage const& ask : asks)
+      learner.handle_reply(ask.to, answer_of(cluster.acceptor(ask.to), *ask.body.AsReadRequest()), now, fetches);
+  }
+  ASSERT_EQ(fetches.size(), 1u) << "one whole value is on its way";
+  wire::ReadRequestT const fetch = *fetches.front().body.AsReadRequest();
+  ASSERT_TRUE(fetch.full);
+  std::vector<OutgoingMessage> more;
+  learner.handle_reply(fetches.front().to, answer_of(cluster.acceptor(fetches.front().to), fetch), seconds(7), more);
+  ASSERT_TRUE(learner.value);
+  EXPECT_EQ(learner.value->text, "A");
+  EXPECT_EQ(learner.confirmed_at, millis(6500)) << "as of the last poll whose quorum knew nothing newer";
+}
+
+TEST(Learning, a_value_that_does_not_come_is_asked_for_again) {
+  Cluster cluster(members_of(2, {"k1", "k2", "k3"}));
+  cluster.ask("p1", cluster.apply("A", 0, 1), {"k1", "k2", "k3"});
+  Learner learner;
+  std::vector<OutgoingMessage> fetches;
+  for (Micros now = seconds(5); now < seconds(10); now += millis(500)) {
+    std::vector<OutgoingMessage> asks;
+    learner.poll(now, {"k1", "k2", "k3"}, -1, asks);
+    for (OutgoingMessage const& ask : asks)
+      learner.handle_reply(ask.to, answer_of(cluster.acceptor(ask.to), *ask.body.AsReadRequest()), now, fetches);
+  }
+  EXPECT_EQ(fetches.size(), 3u) << "after 2 s each";
+}
+
 // A member that was dark when it got its place holds nothing, and is a member all the same: with it the others are a
 // quorum, and whoever does not see that gives up what it could do.
 TEST(Learning, a_member_that_holds_nothing_yet_counts_for_what_a_quorum_knows) {
