Guard ask_first is looked for in other seeds; the busiest kinds of frames without a sort

Worlds of the fleet simulator take another course, since nodes that are behind ask others: seeds 640 to 669 hold no world any more that shows ask_first missing. As many seeds from 1 on do (22). The check is as strict: 30 seeds, none with a fault while all guards are on, and the guard's absence seen. style.words knows 'sort' as a former name in src/runtime: the log of a busy second orders its rows by a map. Run: 604 of 606 tests without fleets passed, these two failed and are mended; linter clean over what changed.

--- a/src/runtime/mesh/frame_traffic.cc
+++ b/src/runtime/mesh/frame_traffic.cc
@@ -1,7 +1,6 @@
 #include "runtime/mesh/frame_traffic.h"
 
-#include <algorithm>
-#include <vector>
+#include <functional>
 
 #include "base/events.h"
 
@@ -31,24 +30,24 @@
 
 std::string FrameTraffic::largest_kinds(Counts const& now, Counts const& before) {
   struct Row {
-    std::uint64_t bytes;
-    std::uint64_t frames;
     wire::Body kind;
+    std::uint64_t frames;
   };
-  std::vector<Row> rows;
+  std::multimap<std::uint64_t, Row, std::greater<std::uint64_t>> rows;  // by their bytes
   std::uint64_t total = 0;
   for (std::size_t position = 0; position < now.size(); ++position) {
     std::uint64_t const bytes = now[position].bytes - before[position].bytes;
     total += bytes;
-    if (bytes > 0)
-      rows.push_back({bytes, now[position].frames - before[position].frames, static_cast<wire::Body>(position)});
+    if (bytes == 0) continue;
+    rows.emplace(bytes, Row{static_cast<wire::Body>(position), now[position].frames - before[position].frames});
   }
-  std::sort(rows.begin(), rows.end(), [](Row const& a, Row const& b) { return a.bytes > b.bytes; });
-  rows.resize(std::min(rows.size(), kinds_logged));
   std::string out = std::to_string(total) + " B:";
-  for (Row const& row : rows)
-    out += std::string(" ") + wire::EnumNameBody(row.kind) + " " + std::to_string(row.bytes) + " B in " +
-           std::to_string(row.frames);
+  std::size_t logged = 0;
+  for (std::pair<std::uint64_t const, Row> const& row : rows) {
+    if (++logged > kinds_logged) break;
+    out += std::string(" ") + wire::EnumNameBody(row.second.kind) + " " + std::to_string(row.first) + " B in " +
+           std::to_string(row.second.frames);
+  }
   return out;
 }
 
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -119,7 +119,7 @@
     {Guard::promise, "N8", "coop", 1, 12, {"race", "storm"}},
     {Guard::bucket, "N10", "coop", 30, 30, {"refuse"}},
     {Guard::cold_share, "N11", "coop", 1, 12, {"release", "crowd"}},
-    {Guard::ask_first, "N11", "coop", 640, 30, {"release", "crowd", "hand"}},
+    {Guard::ask_first, "N11", "coop", 1, 30, {"release", "crowd", "hand"}},
     {Guard::redial, "N12", "coop", 1, 20, {}},
 };
 std::string guard_name(testing::TestParamInfo<Missing> const& info) {
