--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -327,7 +327,8 @@
     return out;
   }
   std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + ip + "\r\n" + fields;
-  if (method != "GET") text += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+  if (method != "GET")
+    text += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
   text += "\r\n" + body;
   if (send_all(fd, text)) out = read_answer(fd, timeout_s);
   ::close(fd);
