--- a/src/base/invariants.h
+++ b/src/base/invariants.h
@@ -23,7 +23,7 @@
   INVARIANT(taken_is_not_refused, "CONFIG N8", "an order that a chosen value contains is not rejected")             \
   INVARIANT(promise_kept, "CONFIG N9", "an acceptor never breaks its promise or changes a ballot's value")          \
   INVARIANT(quorum_possible, "LOST", "a replica set never becomes smaller than the tolerated losses require")       \
-  INVARIANT(end_is_known, "DRAIN N5", "the end of a worker is acknowledged only after peers know of it")            \
+  INVARIANT(end_is_known, "DRAIN N5", "the end of a worker is acknowledged only after replicas know of it")         \
   INVARIANT(key_confirmed, "CONFIG", "a key admits a request only while the configuration is confirmed as current") \
   INVARIANT(quota_kept, "QUOTA", "this node grants no more of a tenant's limit than its own share")
 
--- a/src/consensus/register/learner.h
+++ b/src/consensus/register/learner.h
@@ -41,6 +41,10 @@
   Membership const& membership() const { return membership_; }
   // The membership of the newest value seen by a poll, chosen or not. A proposer may start with it.
   Membership const& newest_seen_membership() const { return newest_seen_membership_; }
+  // The membership of the newest chosen value or, until one is held, of the newest value seen; empty if none was seen.
+  Membership const& newest_known_membership() const {
+    return membership_.empty() ? newest_seen_membership_ : membership_;
+  }
   // The first membership (epoch 1) as seen at some replica, not yet known to be chosen; empty if none was seen.
   Membership const& bootstrap_membership() const { return bootstrap_membership_; }
   // When the last poll that reached a quorum was sent; -1 if none did.
--- a/src/node/replica_directory.cc
+++ b/src/node/replica_directory.cc
@@ -88,9 +88,7 @@
 
 std::string ReplicaDirectory::proposing_replica() const {
   std::string best;
-  // Before a chosen set is known, the newest set that was seen determines the proposer.
-  Membership const& members = learner_.membership().empty() ? learner_.newest_seen_membership() : learner_.membership();
-  for (wire::ReplicaT const& replica : members.replicas)
+  for (wire::ReplicaT const& replica : learner_.newest_known_membership().replicas)
     if (is_reachable(replica) && (best.empty() || replica.name < best)) best = replica.name;
   return best;
 }
--- a/src/node/worker_departures.cc
+++ b/src/node/worker_departures.cc
@@ -36,14 +36,30 @@
   }
 }
 
-bool WorkerDepartures::is_connected(Micros now) const {
-  if (has_quorum_(now)) return true;
+bool WorkerDepartures::is_connected(Micros now) {
+  if (has_quorum_(now)) {
+    record_known_nodes();
+    return true;
+  }
+  return known_nodes_ && reaches_half_of_known_nodes();
+}
+
+void WorkerDepartures::record_known_nodes() {
+  known_nodes_.emplace();
+  for (std::pair<std::string const, Peer> const& item : mesh_.members.peers)
+    known_nodes_->insert(known_nodes_->end(), item.first);
+}
+
+bool WorkerDepartures::reaches_half_of_known_nodes() const {
+  std::set<std::string> nodes = *known_nodes_;
+  for (std::pair<std::string const, Peer> const& item : mesh_.members.peers) nodes.insert(item.first);
   std::size_t all = 1;
   std::size_t connected = 1;
-  for (std::pair<std::string const, Peer> const& item : mesh_.members.peers) {
-    if (mesh_.members.cannot_be_serving(item.first)) continue;
+  for (std::string const& name : nodes) {
+    if (mesh_.members.cannot_be_serving(name)) continue;
     ++all;
-    if (item.second.connection != 0) ++connected;
+    std::map<std::string, Peer>::const_iterator const peer = mesh_.members.peers.find(name);
+    if (peer != mesh_.members.peers.end() && peer->second.connection != 0) ++connected;
   }
   return connected * 2 >= all;
 }
@@ -59,8 +75,8 @@
 // Each replica forwards the entry, so an entry held by a quorum of the replicas spreads to every node that is
 // reachable.
 bool WorkerDepartures::reached_quorum(std::string const& worker) const {
-  Membership const& members = learner_.membership();
-  if (members.empty()) return reached_majority_of_nodes(worker);
+  Membership const& members = learner_.newest_known_membership();
+  if (members.empty()) return false;
   Voters voters;
   for (std::vector<wire::ReplicaT> const* const part : {&members.replicas, &members.former})
     for (wire::ReplicaT const& replica : *part)
@@ -69,26 +85,17 @@
   return members.is_quorum(voters);
 }
 
-bool WorkerDepartures::reached_majority_of_nodes(std::string const& worker) const {
-  std::size_t all = 1;
-  std::size_t replicated = 1;
-  for (std::pair<std::string const, Peer> const& item : mesh_.members.peers) {
-    if (mesh_.members.cannot_be_serving(item.first)) continue;
-    ++all;
-    if (mesh_.entry_replication.is_replicated(item.first, worker)) ++replicated;
-  }
-  return replicated * 2 > all;
-}
-
 void WorkerDepartures::check_acknowledgement(std::string const& worker) const {
-  bool alone = true;
+  Membership const& members = learner_.newest_known_membership();
+  bool alone = !members.empty();
   bool replicated = false;
-  for (std::pair<std::string const, Peer> const& item : mesh_.members.peers) {
-    alone = alone && mesh_.members.cannot_be_serving(item.first);
-    replicated = replicated || mesh_.entry_replication.is_replicated(item.first, worker);
-  }
+  for (std::vector<wire::ReplicaT> const* const part : {&members.replicas, &members.former})
+    for (wire::ReplicaT const& replica : *part) {
+      alone = alone && replica.name == self_;
+      replicated = replicated || mesh_.entry_replication.is_replicated(replica.name, worker);
+    }
   check_invariant(alone || replicated, Invariant::end_is_known, [&] {
-    return worker + ", " + std::to_string(mesh_.members.peers.size()) + " peers, " +
+    return worker + ", " + std::to_string(members.replicas.size()) + " replicas known, " +
            std::to_string(mesh_.open_connections()) + " connections";
   });
 }
--- a/src/node/worker_departures.h
+++ b/src/node/worker_departures.h
@@ -2,14 +2,17 @@
 // that reported it (docs/control.md, "Ends of workers").
 //
 // Owns the calls that are waiting for their acknowledgement. Each call is answered exactly once: as soon as the
-// worker's entry has reached a quorum and every connected peer, or at the call's deadline, and then positively only if
-// a quorum has the entry. The mesh and the learner are only read.
+// worker's entry has reached a quorum of the replicas and every connected peer, or at the call's deadline, and then
+// positively only if a quorum has the entry. A node that knows no replica set yet acknowledges nothing: the peers that
+// it knows need not be all that run. The mesh and the learner are only read.
 //
 // Not synchronized: used by the node's loop only.
 #pragma once
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,8 +40,9 @@
   // Appends the answers of all calls that can be answered at 'now' (microseconds), and removes these calls.
   void answer_calls(Micros now, std::vector<DepartureAnswer>& answers);
   // Whether this node is connected to a quorum of the replicas, or to at least half of the nodes that may be running,
-  // itself included: only then do the reports of workers to this node spread through the fleet.
-  bool is_connected(Micros now) const;
+  // itself included: only then do the reports of workers to this node spread through the fleet. Nodes are counted from
+  // the last contact with a quorum on; without one since the start, this node is not connected.
+  bool is_connected(Micros now);
 
  private:
   struct PendingCall {
@@ -48,18 +52,24 @@
 
   // Whether every connected peer that is alive has the worker's entry.
   bool reached_all_connected(std::string const& worker) const;
-  // Whether enough nodes have the worker's entry for it to spread to every node that others reach.
+  // Whether enough replicas have the worker's entry for it to spread to every node that others reach.
   bool reached_quorum(std::string const& worker) const;
-  // Used while no replica set is known: whether more than half of the nodes that may be running have the entry.
-  bool reached_majority_of_nodes(std::string const& worker) const;
-  // Checks the invariant of a positive answer: another node has the entry, or no other node may be running.
+  // Checks the invariant of a positive answer: a replica set is known, and a replica other than this node has the entry
+  // unless this node is the whole set.
   void check_acknowledgement(std::string const& worker) const;
+  // Takes the peers of the member table as those that may be running.
+  void record_known_nodes();
+  // Whether at least half of the nodes that may be running are connected, itself included.
+  bool reaches_half_of_known_nodes() const;
 
   std::string const self_;
   Mesh const& mesh_;
   Learner const& learner_;
   std::function<bool(Micros)> const has_quorum_;
   std::map<std::uint64_t, PendingCall> pending_calls_;  // by the call's id
+  // The peers in the member table at the last contact with a quorum; nullopt before the first one. The table itself may
+  // lack nodes that run: it is empty after a start, and peers that stay unreachable are removed from it.
+  std::optional<std::set<std::string>> known_nodes_;
 };
 
 }  // namespace pipit
--- a/testing/control_plane_simulator/fleet.h
+++ b/testing/control_plane_simulator/fleet.h
@@ -52,5 +52,7 @@
 std::vector<Scenario> const& member_scenarios();
 // Losses beyond what is allowed at once, and halves.
 std::vector<Scenario> const& overlap_scenarios();
+// Ends of workers.
+std::vector<Scenario> const& worker_scenarios();
 
 }  // namespace pipit::control_plane_simulator
--- a/testing/control_plane_simulator/scenarios.cc
+++ b/testing/control_plane_simulator/scenarios.cc
@@ -407,6 +407,7 @@
     };
     list.insert(list.end(), member_scenarios().begin(), member_scenarios().end());
     list.insert(list.end(), overlap_scenarios().begin(), overlap_scenarios().end());
+    list.insert(list.end(), worker_scenarios().begin(), worker_scenarios().end());
     return list;
   }();
   return all;
--- a/testing/control_plane_simulator/scenarios.h
+++ b/testing/control_plane_simulator/scenarios.h
@@ -27,7 +27,7 @@
 
 struct Scenario {
   char const* name;
-  int point;  // of the four that it is about
+  int point;  // of the four that it is about; 5: the ends of workers
   char const* text;
   Report (*run)(ScenarioPlan const& plan);
 };
--- /dev/null
+++ b/testing/control_plane_simulator/worker_scenarios.cc
@@ -0,0 +1,76 @@
+// Scenarios about the ends of workers that register themselves (docs/control.md, "Ends of workers").
+#include <algorithm>
+
+#include "testing/control_plane_simulator/fleet.h"
+#include "testing/control_plane_simulator/simulated_workers.h"
+
+namespace pipit::control_plane_simulator {
+
+namespace {
+constexpr CallNumbering numberings[] = {CallNumbering::by_count, CallNumbering::by_clock,
+                                        CallNumbering::in_random_steps};
+constexpr std::size_t worker_count = 6;
+
+MachineId any_machine(Fleet& fleet) { return fleet.random.below(fleet.world.size()); }
+
+// One or two machines, of which the first is mostly one without a disk.
+std::vector<MachineId> machines_in_trouble(Fleet& fleet) {
+  WorldPlan const& plan = fleet.world.plan;
+  MachineId const plain = plan.disks + fleet.random.below(plan.plain);
+  MachineId const first = fleet.random.chance(0.75) ? plain : fleet.random.below(plan.disks);
+  std::vector<MachineId> out{first};
+  MachineId const second = plan.disks + fleet.random.below(plan.plain);
+  if (second != first && fleet.random.chance(0.4)) out.push_back(second);
+  return out;
+}
+
+void restart(Fleet& fleet, std::vector<MachineId> const& machines) {
+  for (MachineId const id : machines) fleet.world.kill(id);
+  fleet.world.run(fleet.some(millis(100), millis(500)));
+  for (MachineId const id : machines) fleet.world.boot(id);
+}
+
+// Machines are cut off, restarted, or restarted while they are cut off. Meanwhile workers whose heartbeats go there
+// drain or take their leave.
+Report worker_ends(ScenarioPlan const& plan) {
+  Fleet fleet(plan);
+  World& world = fleet.world;
+  SimulatedWorkers workers(world, fleet.judge, plan.seed);
+  CallNumbering const numbering = numberings[fleet.random.below(3)];
+  std::vector<std::size_t> running;
+  for (std::size_t n = 0; n < worker_count; ++n) running.push_back(workers.start(numbering, any_machine(fleet)));
+  world.run(seconds(4));
+  std::string setting;
+  while (!running.empty()) {
+    std::size_t const worker = running.back();
+    running.pop_back();
+    std::vector<MachineId> const group = machines_in_trouble(fleet);
+    int const trouble = fleet.pick(plan.variant, 4);
+    if (trouble & 1) world.isolate(group, cut_kinds[fleet.random.below(3)], CutWay::both);
+    world.run(fleet.some(0, millis(600)));
+    if (trouble & 2) restart(fleet, group);
+    world.run(fleet.some(0, millis(800)));
+    MachineId const called = fleet.random.chance(0.7) ? group.front() : any_machine(fleet);
+    if (fleet.random.chance(0.5))
+      workers.drain(worker, called);
+    else
+      workers.leave(worker, called);
+    world.run(fleet.some(seconds(1), seconds(4)));
+    world.heal();
+    world.run(seconds(9));
+    static char const* const names[] = {"calm", "cut", "restart", "restart in a cut"};
+    setting += (setting.empty() ? "" : ", ") + std::string(names[trouble]);
+  }
+  return fleet.finish(setting);
+}
+
+}  // namespace
+
+std::vector<Scenario> const& worker_scenarios() {
+  static std::vector<Scenario> const all = {
+      {"worker_ends", 5, "workers leave while machines are cut off and restarted", worker_ends},
+  };
+  return all;
+}
+
+}  // namespace pipit::control_plane_simulator
--- a/testing/control_plane_simulator/world.cc
+++ b/testing/control_plane_simulator/world.cc
@@ -327,8 +327,10 @@
     hang_up(item.first, item.second, false);
   }
   if (on_dispatch && !out.dispatch.empty()) on_dispatch(machine, out.dispatch);
-  if (!on_reply) return;
   std::uint64_t const process = machine.process;
+  for (DepartureAnswer const& answer : out.end_answers)
+    if (on_departure_answer && machine.up() && machine.process == process) on_departure_answer(machine, answer);
+  if (!on_reply) return;
   for (ChangeReply const& reply : out.replies)
     if (machine.up() && machine.process == process) on_reply(machine, reply);
 }
--- a/testing/control_plane_simulator/world.h
+++ b/testing/control_plane_simulator/world.h
@@ -146,6 +146,7 @@
   // Called after every step, for every answer to an operator, at the end of a process, and at the start of one.
   std::function<void(Machine&)> on_step;
   std::function<void(Machine&, ChangeReply const&)> on_reply;
+  std::function<void(Machine&, DepartureAnswer const&)> on_departure_answer;
   std::function<void(Machine&)> on_end;
   std::function<void(Machine&)> on_boot;
   // Completes the plan of a node before its process begins, and takes what its dispatcher decided.
--- a/tests/control_plane.cc
+++ b/tests/control_plane.cc
@@ -215,4 +215,18 @@
   for (std::size_t const disks : {3u, 4u, 8u}) expect_clean("halves", disks, -1, 1, 3);
 }
 
+// Ends of workers: once one is acknowledged, no machine in touch goes on sending requests to the worker, and a fleet
+// without trouble acknowledges each one in time.
+TEST(ControlPlane, an_acknowledged_end_binds_all_machines_while_some_are_cut_off) {
+  expect_clean("worker_ends", 0, 1, 1, 3);
+}
+TEST(ControlPlane, an_acknowledged_end_binds_all_machines_while_some_are_restarted) {
+  for (int const variant : {0, 2}) expect_clean("worker_ends", 0, variant, 1, 3);
+}
+// A machine that was restarted while it was cut off took itself for a majority and acknowledged alone.
+TEST(ControlPlane, an_acknowledged_end_binds_all_machines_while_some_are_restarted_and_cut_off) {
+  for (std::uint64_t const seed : {4, 6}) expect_clean("worker_ends", 0, 3, seed, 1);
+  expect_clean("worker_ends", 0, -1, 1, 3);
+}
+
 }  // namespace pipit::control_plane_simulator
--- a/tests/node/worker_departures.cc
+++ b/tests/node/worker_departures.cc
@@ -76,7 +76,8 @@
 };
 }  // namespace
 
-TEST_F(WorkerDeparturesTest, node_without_peers_answers_at_once) {
+TEST_F(WorkerDeparturesTest, the_only_replica_without_peers_answers_at_once) {
+  set_replicas({"n1"});
   write_end();
   std::vector<DepartureAnswer> const answers = add_call(7);
   ASSERT_EQ(answers.size(), 1u);
@@ -85,34 +86,71 @@
   EXPECT_TRUE(answers_at(seconds(10)).empty()) << "a call is answered once";
 }
 
+// Guards against a node that starts while it is cut off: it knows no other node, took itself for a majority and
+// acknowledged the end of a worker that nobody else knew of.
+TEST_F(WorkerDeparturesTest, node_that_knows_no_other_node_acknowledges_nothing) {
+  write_end();
+  EXPECT_TRUE(add_call(1).empty()) << "the replica set may become known before the deadline";
+  std::vector<DepartureAnswer> const answers = answers_at(millis(600));
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_FALSE(answers[0].acknowledged);
+}
+
+// Guards against the same with several nodes that start while they are cut off together.
+TEST_F(WorkerDeparturesTest, nodes_that_know_only_each_other_acknowledge_nothing) {
+  connect("n2");
+  connect("n3");
+  write_end();
+  EXPECT_TRUE(add_call(1).empty());
+  acknowledge("n2");
+  acknowledge("n3");
+  EXPECT_TRUE(answers_at(millis(600) - 1).empty());
+  std::vector<DepartureAnswer> const answers = answers_at(millis(600));
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_FALSE(answers[0].acknowledged) << "all known nodes have the entry, but there may be others";
+}
+
+TEST_F(WorkerDeparturesTest, call_is_acknowledged_when_the_replica_set_becomes_known_in_time) {
+  connect("n2");
+  write_end();
+  EXPECT_TRUE(add_call(1).empty());
+  acknowledge("n2");
+  set_replicas({"n2"});
+  std::vector<DepartureAnswer> const answers = answers_at(millis(300));
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_TRUE(answers[0].acknowledged);
+}
+
 TEST_F(WorkerDeparturesTest, answer_waits_for_every_connected_peer) {
   connect("n2");
   connect("n3");
+  set_replicas({"n1", "n2", "n3"});
   write_end();
   EXPECT_TRUE(add_call(1).empty());
   acknowledge("n2");
-  EXPECT_TRUE(answers_at(millis(100)).empty()) << "two of three nodes have the entry, but the third is connected";
+  EXPECT_TRUE(answers_at(millis(100)).empty()) << "two of three replicas have the entry, but the third is connected";
   acknowledge("n3");
   std::vector<DepartureAnswer> const answers = answers_at(millis(200));
   ASSERT_EQ(answers.size(), 1u);
   EXPECT_TRUE(answers[0].acknowledged);
 }
 
-TEST_F(WorkerDeparturesTest, majority_of_nodes_decides_at_the_deadline) {
+TEST_F(WorkerDeparturesTest, quorum_decides_at_the_deadline) {
   connect("n2");
   connect("n3");
+  set_replicas({"n1", "n2", "n3"});
   write_end();
   EXPECT_TRUE(add_call(1).empty());
   EXPECT_TRUE(answers_at(millis(600) - 1).empty());
   std::vector<DepartureAnswer> const refused = answers_at(millis(600));
   ASSERT_EQ(refused.size(), 1u);
-  EXPECT_FALSE(refused[0].acknowledged) << "one of three nodes has the entry";
+  EXPECT_FALSE(refused[0].acknowledged) << "one of three replicas has the entry";
 
   EXPECT_TRUE(add_call(2).empty());
   acknowledge("n2");
   std::vector<DepartureAnswer> const accepted = answers_at(millis(600));
   ASSERT_EQ(accepted.size(), 1u);
-  EXPECT_TRUE(accepted[0].acknowledged) << "two of three nodes have the entry";
+  EXPECT_TRUE(accepted[0].acknowledged) << "two of three replicas have the entry";
 }
 
 TEST_F(WorkerDeparturesTest, quorum_of_replicas_decides_where_a_set_is_known) {
@@ -134,9 +172,11 @@
 }
 
 TEST_F(WorkerDeparturesTest, node_is_connected_with_half_of_the_nodes_that_may_run) {
-  EXPECT_TRUE(departures.is_connected(0)) << "alone";
   connect("n2");
   connect("n3");
+  has_quorum = true;
+  EXPECT_TRUE(departures.is_connected(0)) << "a quorum of the replicas is enough";
+  has_quorum = false;
   disconnect("n2", false);
   EXPECT_TRUE(departures.is_connected(0)) << "two of three";
   disconnect("n3", false);
@@ -148,4 +188,26 @@
   EXPECT_TRUE(departures.is_connected(0)) << "a quorum of the replicas is enough";
 }
 
+// Guards against a node that starts while it is cut off and takes over the workers that call it.
+TEST_F(WorkerDeparturesTest, node_without_contact_to_a_quorum_since_its_start_is_not_connected) {
+  EXPECT_FALSE(departures.is_connected(0)) << "it knows no other node";
+  connect("n2");
+  EXPECT_FALSE(departures.is_connected(0)) << "it knows one other node, and there may be more";
+  has_quorum = true;
+  EXPECT_TRUE(departures.is_connected(0));
+}
+
+// Guards against a node that is cut off for so long that its member table loses the others.
+TEST_F(WorkerDeparturesTest, node_that_forgot_its_peers_is_not_connected) {
+  connect("n2");
+  connect("n3");
+  has_quorum = true;
+  EXPECT_TRUE(departures.is_connected(0));
+  has_quorum = false;
+  mesh.members.peers.clear();
+  EXPECT_FALSE(departures.is_connected(0)) << "one of three";
+  connect("n2");
+  EXPECT_TRUE(departures.is_connected(0)) << "two of three";
+}
+
 }  // namespace pipit
--- a/tests/node_server.cc
+++ b/tests/node_server.cc
@@ -1,5 +1,8 @@
 // A node of the users' platform with its sockets: the control and metrics addresses.
 #include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
 
 #include "platform/control.h"
 #include "tests/loopback.h"
@@ -9,8 +12,11 @@
 namespace {
 class NodeServerEndpoints : public testing::Test {
  protected:
-  NodeServerEndpoints() {
+  explicit NodeServerEndpoints(std::string const& data_directory = "") {
     NodeServerOptions plan;
+    plan.data_directory = data_directory;
+    plan.node.is_replica = !data_directory.empty();
+    plan.node.first_start = true;
     plan.node.name = "n1";
     plan.node.zone = "a";
     plan.node.workers_self_register = true;
@@ -45,13 +51,43 @@
   std::unique_ptr<NodeServer> node_server;
   std::unique_ptr<ControlCalls> calls;
 };
+
+// A node that is the whole replica set of its fleet.
+class NodeServerOfOnlyReplica : public NodeServerEndpoints {
+ protected:
+  NodeServerOfOnlyReplica() : NodeServerEndpoints(folder().native()) {
+    ticker = g_timeout_add(
+        20,
+        [](gpointer data) -> gboolean {
+          static_cast<NodeServerOfOnlyReplica*>(data)->node_server->tick();
+          return G_SOURCE_CONTINUE;
+        },
+        this);
+  }
+  ~NodeServerOfOnlyReplica() override {
+    g_source_remove(ticker);
+    node_server.reset();
+    std::filesystem::remove_all(folder());
+  }
+
+ private:
+  static std::filesystem::path folder() {
+    std::filesystem::path const out =
+        std::filesystem::temp_directory_path() / ("node_server_" + std::to_string(::getpid()));
+    std::filesystem::create_directories(out);
+    return out;
+  }
+
+  unsigned ticker = 0;
+};
 }  // namespace
 
 // A node that does not know the worker cannot announce its departure; the worker must call a node that does.
-TEST_F(NodeServerEndpoints, acknowledges_departure_only_of_a_registered_worker) {
+TEST_F(NodeServerOfOnlyReplica, acknowledges_departure_only_of_a_registered_worker) {
   std::string const leave_message = R"({"call_sequence":9})";
   EXPECT_EQ(post("/Instances.Leave/i-1", leave_message), "HTTP/1.1 503");
-  EXPECT_EQ(post("/Instances.Beat/i-1", heartbeat(8)), "HTTP/1.1 200");
+  EXPECT_TRUE(until([this] { return post("/Instances.Beat/i-1", heartbeat(8)) == "HTTP/1.1 200"; }))
+      << "once the replica set is formed";
   EXPECT_EQ(post("/Instances.Leave/i-1", leave_message), "HTTP/1.1 200");
   EXPECT_EQ(post("/Instances.Leave/i-1", leave_message), "HTTP/1.1 200")
       << "a repeated call is acknowledged, because the first answer may have been lost";
