A peer that rejects an entry sends its newer one back before it acknowledges

What callers saw: in a fleet of 24 nodes and more, a worker said `draining` to a machine that had just been restarted, while the machine that had taken its heartbeats was lost as well. It got 200 and went on getting requests from all others for many seconds (DRAIN).

Cause: a restarted node writes its first entries with low stamps. A peer with a newer entry rejected them and acknowledged the batch all the same; EntryReplication takes an acknowledged entry for replicated, so a quorum seemed to have it. In a small fleet every peer sends its whole table at the greeting, before its acknowledgement; in a large one only the owner of the newer entry does, and that was gone.

Change: Mesh::handle_entries sends the newer entry to the sender ahead of the acknowledgement. The sender then knows better before it counts: its registry writes the worker's end anew with a later stamp, which waits for an acknowledgement of its own. Where a caller waits for that end, the new entry is sent at once and not with the next round (0.6 s would be over by then); all other refutations wait as before.

Tests: Heartbeats.acknowledged_end_reported_to_a_restarted_node_is_known_to_all failed before (fleet of 30). The simulator could not draw it, as its fleets had 17 machines at most: scenario worker_ends_in_a_large_fleet; machines may be called before they are connected, and the machine of a worker may be lost meanwhile.

--- a/src/mesh/entries/entry_replication.cc
+++ b/src/mesh/entries/entry_replication.cc
@@ -25,6 +25,15 @@
   for (std::pair<std::string const, PeerQueue>& item : queues_) item.second.pending[key] = PendingEntry{stamp, false};
 }
 
+void EntryReplication::enqueue_one(std::string const& peer, std::string const& key) {
+  std::map<std::string, PeerQueue>::iterator const queue = queues_.find(peer);
+  if (queue == queues_.end()) return;
+  std::uint64_t const stamp = table_.entries().at(key).stamp;
+  std::map<std::string, PendingEntry>::const_iterator const pending = queue->second.pending.find(key);
+  if (pending != queue->second.pending.end() && pending->second.stamp == stamp) return;
+  queue->second.pending[key] = PendingEntry{stamp, false};
+}
+
 void EntryReplication::enqueue_forwarded(std::string const& from, wire::EntryT const& entry) {
   if (forward_to_all) {
     for (std::pair<std::string const, PeerQueue>& item : queues_)
--- a/src/mesh/entries/entry_replication.h
+++ b/src/mesh/entries/entry_replication.h
@@ -32,6 +32,8 @@
   void enqueue_own(std::string const& peer);
   // Queues an entry that this node has just written, for all peers.
   void enqueue_local(std::string const& key);
+  // Queues one entry for the peer, unless it is queued or in flight already.
+  void enqueue_one(std::string const& peer, std::string const& key);
   // Queues an entry that the peer 'from' sent, for the peers to which this node forwards entries.
   void enqueue_forwarded(std::string const& from, wire::EntryT const& entry);
 
--- a/src/mesh/entries/entry_table.cc
+++ b/src/mesh/entries/entry_table.cc
@@ -13,6 +13,11 @@
          a.state == b.state && a.slots == b.slots;
 }
 
+// Of two entries of one key the one with the higher precedence wins.
+std::tuple<std::uint64_t const&, std::string const&> precedence(wire::EntryT const& entry) {
+  return std::tie(entry.stamp, entry.owner);
+}
+
 // Whether an entry is removed after some time: the entry of an ended worker, or a report of a node that is not the
 // owner.
 bool expires(wire::EntryT const& entry) {
@@ -34,13 +39,16 @@
   if (entry.key.empty() || entry.state > static_cast<std::uint8_t>(WorkerState::ended)) return false;
   clock_ = std::max(clock_, entry.stamp);
   std::map<std::string, wire::EntryT>::const_iterator const position = entries_.find(entry.key);
-  if (position != entries_.end() &&
-      std::tie(position->second.stamp, position->second.owner) >= std::tie(entry.stamp, entry.owner))
-    return false;
+  if (position != entries_.end() && precedence(position->second) >= precedence(entry)) return false;
   store(entry, now);
   return true;
 }
 
+bool EntryTable::holds_newer(wire::EntryT const& entry) const {
+  std::map<std::string, wire::EntryT>::const_iterator const position = entries_.find(entry.key);
+  return position != entries_.end() && precedence(position->second) > precedence(entry);
+}
+
 void EntryTable::store(wire::EntryT entry, Micros now) {
   if (expires(entry))
     expirable_since_[entry.key] = now;
--- a/src/mesh/entries/entry_table.h
+++ b/src/mesh/entries/entry_table.h
@@ -34,6 +34,8 @@
   bool put(wire::EntryT entry, Micros now);
   // Merges an entry that a peer sent; false when it is malformed or not newer than the one held.
   bool merge(wire::EntryT const& entry, Micros now);
+  // Whether the table holds an entry of the same key that would win against this one.
+  bool holds_newer(wire::EntryT const& entry) const;
   // Removes entries of ended workers and secondary reports that were written more than 'age' microseconds ago.
   void remove_expired(Micros now, Micros age);
   // A hash over all entries that do not expire; equal on two nodes that hold the same entries (§3.6).
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -81,12 +81,15 @@
 
 void Mesh::flush_entries(ConnectionEffects& out, bool resend) {
   for (std::pair<std::string const, Peer> const& item : members.peers) {
-    if (item.second.connection == 0) continue;
-    wire::EntriesT batch = entry_replication.next_batch(item.first, resend);
-    while (!batch.list.empty()) {
-      send(item.first, std::move(batch), out);
-      batch = entry_replication.next_batch(item.first, false);
-    }
+    if (item.second.connection != 0) send_pending_entries(item.first, resend, out);
+  }
+}
+
+void Mesh::send_pending_entries(std::string const& peer, bool resend, ConnectionEffects& out) {
+  wire::EntriesT batch = entry_replication.next_batch(peer, resend);
+  while (!batch.list.empty()) {
+    send(peer, std::move(batch), out);
+    batch = entry_replication.next_batch(peer, false);
   }
 }
 
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -90,6 +90,8 @@
                       ConnectionEffects& out);
   // Queues the entries that a peer lacks according to its Hello.
   void enqueue_entries_for(std::string const& name, wire::HelloT const& hello);
+  // Sends the entries that are queued for one peer; with 'resend' also those that were not acknowledged.
+  void send_pending_entries(std::string const& peer, bool resend, ConnectionEffects& out);
   // Resends all entries to a peer whose digest differs, at a limited rate; only in a large fleet.
   void repair_entries(std::string const& peer, std::uint64_t peer_digest, Micros now, ConnectionEffects& out);
 
--- a/src/mesh/mesh_frames.cc
+++ b/src/mesh/mesh_frames.cc
@@ -123,11 +123,18 @@
 
 void Mesh::handle_entries(ConnectionId id, std::string const& from, wire::EntriesT const& batch, Micros now,
                           ConnectionEffects& out) {
+  bool sender_is_behind = false;
   for (std::unique_ptr<wire::EntryT> const& entry : batch.list) {
-    if (!entry_table.merge(*entry, now)) continue;
-    entry_replication.enqueue_forwarded(from, *entry);
-    updated_entry_keys.push_back(entry->key);
+    if (entry_table.merge(*entry, now)) {
+      entry_replication.enqueue_forwarded(from, *entry);
+      updated_entry_keys.push_back(entry->key);
+    } else if (entry_table.holds_newer(*entry)) {
+      entry_replication.enqueue_one(from, entry->key);
+      sender_is_behind = true;
+    }
   }
+  // The sender must not take its entry for replicated here: the newer one reaches it before the acknowledgement does.
+  if (sender_is_behind) send_pending_entries(from, false, out);
   wire::EntriesAckT ack;
   ack.batch = batch.batch;
   out.outgoing_frames.push_back({id, encode_message(std::move(ack))});
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -466,7 +466,7 @@
   std::string const hello_name =
       is_hello && frame.value()->body.AsHello()->self ? frame.value()->body.AsHello()->self->name : "";
   std::string const from = mesh.handle_frame(id, *frame.value(), now, out.mesh);
-  apply_updated_entries(now);
+  apply_updated_entries(now, out);
   if (is_hello) {
     // §5.5: a peer that connects with an older revision is sent the chosen value at once. In a large fleet too many
     // nodes would send it; there the peer polls, or requests the value from one peer that announces a newer revision.
@@ -487,14 +487,14 @@
   return true;
 }
 
-void Node::apply_updated_entries(Micros now) {
+void Node::apply_updated_entries(Micros now, NodeEffects& out) {
   for (std::string const& key : mesh.updated_entry_keys) {
     std::map<std::string, wire::EntryT>::const_iterator const entry = mesh.entry_table.entries().find(key);
     if (entry == mesh.entry_table.entries().end()) continue;
     if (!plan.workers_self_register)
       fleet.take_entry(entry->second, now);
     else if (std::optional<wire::EntryT> refutation = registry.take_entry(entry->second, now))
-      mesh.put_entry(std::move(*refutation), now);
+      refute_entry(std::move(*refutation), now, out);
   }
   mesh.updated_entry_keys.clear();
   for (std::string const& id : registry.ended_workers) index_sync.forget(id);
@@ -503,6 +503,13 @@
   fleet.restarted_workers.clear();
 }
 
+// Peers refute an outdated entry at the same time, so most of them let it wait for the next round. A caller that waits
+// for the end of the worker to be acknowledged has no time for that.
+void Node::refute_entry(wire::EntryT entry, Micros now, NodeEffects& out) {
+  bool const urgent = worker_departures_.is_pending(entry.key);
+  if (mesh.put_entry(std::move(entry), now) && urgent) mesh.flush_entries(out.mesh);
+}
+
 void Node::record_synced(Micros now, NodeEffects& out) {
   std::vector<OutgoingMessage> outgoing;
   acceptor->on_synced(outgoing);
@@ -563,7 +570,7 @@
 void Node::tick(Micros now, NodeEffects& out) {
   detect_clock_jump(now);
   mesh.tick(now, out.mesh);
-  apply_updated_entries(now);
+  apply_updated_entries(now, out);
   std::vector<OutgoingMessage> outgoing;
   if (now >= next_poll_ &&
       (guard_enabled(Guard::spread) || learner.confirmed_at < 0 || plan.role == MemberRole::config_store)) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -214,7 +214,9 @@
   // Takes the age of a peer's knowledge of the list of workers (§4.3).
   void note_peer_list_age(Micros age, Micros now);
   // Passes entries that gossip has updated to the tables of workers.
-  void apply_updated_entries(Micros now);
+  void apply_updated_entries(Micros now, NodeEffects& out);
+  // Writes an entry against one that a peer sent.
+  void refute_entry(wire::EntryT entry, Micros now, NodeEffects& out);
   void send_loads(Micros now, std::vector<OutgoingMessage>& outgoing);
   void start_health_check(std::string const& id, Micros now, NodeEffects& out);
   void start_requested_health_checks(Micros now, NodeEffects& out);
--- a/src/node/node_registered_workers.cc
+++ b/src/node/node_registered_workers.cc
@@ -30,7 +30,7 @@
   if (!connected && !heartbeat.leaving && registry.record_liveness(heartbeat, now)) return false;
   if (std::optional<wire::EntryT> entry = registry.heartbeat(heartbeat, now))
     publish_entry(std::move(*entry), now, out);
-  apply_updated_entries(now);
+  apply_updated_entries(now, out);
   update_readiness(now, out);
   return connected;
 }
@@ -39,7 +39,7 @@
   detect_clock_jump(now);
   if (std::optional<wire::EntryT> entry = registry.leave(id, call_sequence, now))
     publish_entry(std::move(*entry), now, out);
-  apply_updated_entries(now);
+  apply_updated_entries(now, out);
 }
 
 void Node::await_worker_end(std::uint64_t id, std::string const& worker, Micros now, NodeEffects& out) {
@@ -147,7 +147,7 @@
   }
   for (wire::EntryT& entry : registry.end_silent_workers(now)) publish_entry(std::move(entry), now, out);
   if (now >= next_adoption_) adopt_workers(now, out);
-  apply_updated_entries(now);
+  apply_updated_entries(now, out);
   worker_departures_.answer_calls(now, out.end_answers);
   dispatcher.set_node_count(known_routers(true).size(), mesh.is_large_fleet());
   update_readiness(now, out);
--- a/src/node/node_worker_list.cc
+++ b/src/node/node_worker_list.cc
@@ -88,7 +88,7 @@
     last_list_read_at_ = list_read_started_at_;
     list_freshness_.note_reading(last_list_read_at_);
   }
-  apply_updated_entries(now);
+  apply_updated_entries(now, out);
   publish_own_entries(now, out);
   update_readiness(now, out);
   chat_dispatcher.process_backlog(now, out.chat);
@@ -99,7 +99,7 @@
   detect_clock_jump(now);
   health_checks_in_flight_.erase(check.worker);
   fleet.health_report(check.worker, check.incarnation, check.sent_at, report, refused, now);
-  apply_updated_entries(now);
+  apply_updated_entries(now, out);
   chat_dispatcher.process_backlog(now, out.chat);
   start_requested_health_checks(now, out);
 }
--- a/src/node/worker_departures.cc
+++ b/src/node/worker_departures.cc
@@ -36,6 +36,12 @@
   }
 }
 
+bool WorkerDepartures::is_pending(std::string const& worker) const {
+  return std::any_of(
+      pending_calls_.begin(), pending_calls_.end(),
+      [&](std::pair<std::uint64_t const, PendingCall> const& item) { return item.second.worker == worker; });
+}
+
 bool WorkerDepartures::is_connected(Micros now) {
   if (has_quorum_(now)) {
     record_known_nodes();
--- a/src/node/worker_departures.h
+++ b/src/node/worker_departures.h
@@ -39,6 +39,8 @@
   void add_call(std::uint64_t id, std::string const& worker, Micros now, std::vector<DepartureAnswer>& answers);
   // Appends the answers of all calls that can be answered at 'now' (microseconds), and removes these calls.
   void answer_calls(Micros now, std::vector<DepartureAnswer>& answers);
+  // Whether a call that reported the end of 'worker' waits for its answer.
+  bool is_pending(std::string const& worker) const;
   // Whether this node is connected to a quorum of the replicas, or to at least half of the nodes that may be running,
   // itself included: only then do the reports of workers to this node spread through the fleet. Nodes are counted from
   // the last contact with a quorum on; without one since the start, this node is not connected.
--- a/testing/control_plane_simulator/fleet.cc
+++ b/testing/control_plane_simulator/fleet.cc
@@ -10,7 +10,8 @@
   WorldPlan out;
   out.seed = plan.seed;
   out.disks = plan.disks > 0 ? plan.disks : sizes[random.below(3)];
-  out.plain = 3 + random.below(7);
+  std::size_t const plain = 3 + random.below(7);
+  out.plain = plan.plain > 0 ? plan.plain : plain;
   out.tolerated = out.disks >= 8 ? 2 : 1;
   return out;
 }
--- a/testing/control_plane_simulator/scenarios.h
+++ b/testing/control_plane_simulator/scenarios.h
@@ -12,6 +12,7 @@
   std::uint64_t seed = 1;
   std::size_t disks = 0;  // 0: by the seed, one of 3, 4 and 8
   int variant = -1;       // of scenarios that have some; below 0: by the seed
+  std::size_t plain = 0;  // machines without a disk; 0: by the seed, 3 to 9
 };
 
 struct Report {
--- a/testing/control_plane_simulator/simulated_workers.h
+++ b/testing/control_plane_simulator/simulated_workers.h
@@ -40,6 +40,8 @@
   // The worker says that it drains, or at once that it leaves. Its first call goes to 'machine'.
   void drain(std::size_t worker, MachineId machine);
   void leave(std::size_t worker, MachineId machine);
+  // The machine that gets the worker's next call.
+  MachineId machine_of(std::size_t worker) const { return workers_[worker]->machine; }
   bool end_is_acknowledged(std::size_t worker) const { return workers_[worker]->acknowledged_at >= 0; }
 
  private:
--- a/testing/control_plane_simulator/worker_scenarios.cc
+++ b/testing/control_plane_simulator/worker_scenarios.cc
@@ -10,6 +10,7 @@
 constexpr CallNumbering numberings[] = {CallNumbering::by_count, CallNumbering::by_clock,
                                         CallNumbering::in_random_steps};
 constexpr std::size_t worker_count = 6;
+constexpr std::size_t large_fleet_machines = 26;  // without a disk
 
 MachineId any_machine(Fleet& fleet) { return fleet.random.below(fleet.world.size()); }
 
@@ -27,7 +28,8 @@
 void restart(Fleet& fleet, std::vector<MachineId> const& machines) {
   for (MachineId const id : machines) fleet.world.kill(id);
   fleet.world.run(fleet.some(millis(100), millis(500)));
-  for (MachineId const id : machines) fleet.world.boot(id);
+  for (MachineId const id : machines)
+    if (!fleet.world.machine(id).up()) fleet.world.boot(id);
 }
 
 // Machines are cut off, restarted, or restarted while they are cut off. Meanwhile workers whose heartbeats go there
@@ -48,8 +50,12 @@
     int const trouble = fleet.pick(plan.variant, 4);
     if (trouble & 1) world.isolate(group, cut_kinds[fleet.random.below(3)], CutWay::both);
     world.run(fleet.some(0, millis(600)));
+    MachineId const owner = workers.machine_of(worker);
+    bool const owner_lost = trouble != 0 && fleet.random.chance(0.3);
+    if (owner_lost) world.kill(owner);
     if (trouble & 2) restart(fleet, group);
-    world.run(fleet.some(0, millis(800)));
+    // A machine may be called before it is connected to any other.
+    if (fleet.random.chance(0.5)) world.run(fleet.some(0, millis(800)));
     MachineId const called = fleet.random.chance(0.7) ? group.front() : any_machine(fleet);
     if (fleet.random.chance(0.5))
       workers.drain(worker, called);
@@ -57,6 +63,7 @@
       workers.leave(worker, called);
     world.run(fleet.some(seconds(1), seconds(4)));
     world.heal();
+    world.boot(owner);
     world.run(seconds(9));
     static char const* const names[] = {"calm", "cut", "restart", "restart in a cut"};
     setting += (setting.empty() ? "" : ", ") + std::string(names[trouble]);
@@ -64,11 +71,19 @@
   return fleet.finish(setting);
 }
 
+// The same in a fleet that is so large that entries are sent by their owners and repaired by digests (design, §3.6).
+Report worker_ends_in_a_large_fleet(ScenarioPlan const& plan) {
+  ScenarioPlan large = plan;
+  large.plain = large_fleet_machines;
+  return worker_ends(large);
+}
+
 }  // namespace
 
 std::vector<Scenario> const& worker_scenarios() {
   static std::vector<Scenario> const all = {
       {"worker_ends", 5, "workers leave while machines are cut off and restarted", worker_ends},
+      {"worker_ends_in_a_large_fleet", 5, "the same with 29 machines and more", worker_ends_in_a_large_fleet},
   };
   return all;
 }
--- a/tests/self_registering_fleet.cc
+++ b/tests/self_registering_fleet.cc
@@ -78,6 +78,7 @@
     }
     for (ConnectionId const id : out.mesh.closed_connections) close(id, from);
     for (ChangeReply& item : out.replies) replies[from].push_back(std::move(item));
+    for (DepartureAnswer const& item : out.end_answers) departure_answers[item.id] = item.acknowledged;
     while (!pending_syncs.empty()) {
       std::size_t const node = pending_syncs.back();
       pending_syncs.pop_back();
@@ -93,6 +94,15 @@
     apply_effects(node, out);
   }
 
+  // A worker says that it drains; the call's answer comes under this id.
+  void drain(std::size_t node, Heartbeat heartbeat, std::uint64_t call) {
+    heartbeat.leaving = true;
+    NodeEffects out;
+    nodes[node]->handle_heartbeat(heartbeat, now, out);
+    nodes[node]->await_worker_end(call, heartbeat.id, now, out);
+    apply_effects(node, out);
+  }
+
   // Ends the process of a node; its address then refuses connections.
   void remove(std::size_t node) {
     removed.insert(node);
@@ -115,6 +125,7 @@
   Micros now = seconds(10);
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<std::vector<ChangeReply>> replies;
+  std::map<std::uint64_t, bool> departure_answers;  // by the id of the call
   // Submits an empty configuration.
   void configure(std::uint64_t label) {
     Change change;
@@ -398,6 +409,37 @@
   }
 }
 
+// Guards against an end that its peers had not taken: a restarted node writes its first entries with low stamps, which
+// a peer with a newer entry rejects but acknowledges. The node then acknowledged the end, and others sent requests on.
+TEST(Heartbeats, acknowledged_end_reported_to_a_restarted_node_is_known_to_all) {
+  for (std::size_t const count : {6u, 30u}) {
+    SimulatedFleet fleet(count, 3, 3);
+    fleet.run(seconds(6));
+    fleet.configure(1);
+    fleet.run(seconds(3));
+    for (std::uint64_t order = 1; order < 9; ++order) {
+      Heartbeat resized = heartbeat_of("w", order);
+      resized.slots = static_cast<std::int64_t>(order);
+      fleet.heartbeat(4, resized);  // an entry with a new stamp each time
+    }
+    fleet.run(millis(300));
+    fleet.remove(4);
+    fleet.remove(5);
+    fleet.run(millis(200));
+    fleet.restart(5);
+    fleet.drain(5, heartbeat_of("w", 20), 1);  // before the node is connected to any other
+    fleet.run(seconds(2));
+    ASSERT_EQ(fleet.departure_answers.count(1), 1u) << count << " nodes";
+    for (std::size_t n = 0; n < count; ++n) {
+      if (n == 4) continue;
+      Instance const* const worker = fleet.nodes[n]->registry.find("w");
+      bool const ends = worker != nullptr && worker->state != WorkerState::serving;
+      EXPECT_TRUE(ends || !fleet.departure_answers[1]) << "node " << n << " of " << count;
+    }
+    EXPECT_TRUE(fleet.departure_answers[1]) << "the replica set becomes known in time, in a fleet of " << count;
+  }
+}
+
 // Guards against a delay, meant for fleets whose nodes share the limits of cold workers, that kept every restarted node
 // unready for two more seconds.
 TEST(Readiness, returns_within_a_second_of_a_restart) {
