A restarted node gives no entry a stamp that it has given before

What callers saw: a worker said `draining` to the machine that takes its heartbeats, right after that machine had been restarted; no other trouble. It got 200, and all other machines went on sending to it until its machine noticed (DRAIN).

Cause: stamps are Lamport clocks, and a process that starts begins at 0. Its first entry of the new life has the owner and the stamp of the first one of its former life. Peers compare (stamp, owner), find it equal to what they hold, keep that and acknowledge the batch; the digest of both tables is the same too. So the entry counted as replicated everywhere and was nowhere.

Change: the lowest 24 bits of a stamp are a hash of the writer's incarnation, the bits above them count as before. Low counts after a restart stay as they are, so that a node that has forgotten does not win against those that know.

--- a/src/mesh/entries/entry_table.cc
+++ b/src/mesh/entries/entry_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "base/hash.h"
 
@@ -25,12 +26,22 @@
 }
 }  // namespace
 
+EntryTable::EntryTable(std::string self, std::uint64_t incarnation)
+    : self_(std::move(self)),
+      incarnation_stamp_(hash_bits(incarnation) & ((std::uint64_t{1} << stamp_incarnation_bits) - 1)) {}
+
+std::uint64_t EntryTable::next_stamp() {
+  std::uint64_t const count = (clock_ >> stamp_incarnation_bits) + 1;
+  clock_ = (count << stamp_incarnation_bits) | incarnation_stamp_;
+  return clock_;
+}
+
 bool EntryTable::put(wire::EntryT entry, Micros now) {
   std::map<std::string, wire::EntryT>::const_iterator const position = entries_.find(entry.key);
   if (position != entries_.end() && position->second.owner == self_ && same_content(position->second, entry))
     return false;
   entry.owner = self_;
-  entry.stamp = ++clock_;
+  entry.stamp = next_stamp();
   store(std::move(entry), now);
   return true;
 }
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -10,7 +10,7 @@
 
 Mesh::Mesh(MeshSettings settings, wire::MemberT const& self, std::uint64_t seed)
     : members(self),
-      entry_table(self.name),
+      entry_table(self.name, self.incarnation),
       entry_replication(entry_table),
       settings_(std::move(settings)),
       random_(seed),
--- a/tests/control_plane.cc
+++ b/tests/control_plane.cc
@@ -228,6 +228,10 @@
   for (std::uint64_t const seed : {4, 6}) expect_clean("worker_ends", 0, 3, seed, 1);
   expect_clean("worker_ends", 0, -1, 1, 3);
 }
+// A restarted machine used the stamps of its former life again, so peers took its new entry for one that they had.
+TEST(ControlPlane, an_acknowledged_end_binds_all_machines_when_it_is_reported_to_a_restarted_one) {
+  for (std::uint64_t const seed : {15, 22, 27}) expect_clean("worker_ends", 0, 2, seed, 1);
+}
 // Peers acknowledged an entry that they had rejected for a newer one, so a restarted machine took it for replicated.
 TEST(ControlPlane, an_acknowledged_end_binds_all_machines_of_a_large_fleet) {
   for (std::uint64_t const seed : {2, 27}) expect_clean("worker_ends_in_a_large_fleet", 0, 2, seed, 1);
--- a/tests/self_registering_fleet.cc
+++ b/tests/self_registering_fleet.cc
@@ -440,6 +440,28 @@
   }
 }
 
+// Guards against stamps that a restarted node uses again: peers took its entry for one of the same owner and stamp that
+// it had written before, and nobody learned that the worker drains.
+TEST(Heartbeats, acknowledged_end_reported_to_the_restarted_owner_is_known_to_all) {
+  for (std::size_t const count : {6u, 30u}) {
+    SimulatedFleet fleet(count, 3, 3);
+    fleet.run(seconds(6));
+    fleet.configure(1);
+    fleet.run(seconds(3));
+    fleet.heartbeat(5, heartbeat_of("w", 1));
+    fleet.run(millis(300));
+    fleet.remove(5);
+    fleet.run(millis(200));
+    fleet.restart(5);
+    fleet.drain(5, heartbeat_of("w", 2), 1);  // before the node is connected to any other
+    fleet.run(seconds(2));
+    ASSERT_EQ(fleet.departure_answers.count(1), 1u) << count << " nodes";
+    EXPECT_TRUE(fleet.departure_answers[1]) << "the replica set becomes known in time, in a fleet of " << count;
+    for (std::size_t n = 0; n < count; ++n)
+      EXPECT_EQ(fleet.nodes[n]->registry.find("w")->state, WorkerState::draining) << "node " << n << " of " << count;
+  }
+}
+
 // Guards against a delay, meant for fleets whose nodes share the limits of cold workers, that kept every restarted node
 // unready for two more seconds.
 TEST(Readiness, returns_within_a_second_of_a_restart) {
