--- a/src/mesh/entries/entry_table.cc
+++ b/src/mesh/entries/entry_table.cc
@@ -11,7 +11,7 @@
 namespace {
 bool same_content(wire::EntryT const& a, wire::EntryT const& b) {
   return a.incarnation == b.incarnation && a.address == b.address && a.zone == b.zone && a.pool == b.pool &&
-         a.state == b.state && a.slots == b.slots;
+         a.state == b.state && a.slots == b.slots && a.deregistered == b.deregistered;
 }
 
 // Of two entries of one key the one with the higher precedence wins.
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -198,6 +198,7 @@
   void tick_registered_workers(Micros now, std::vector<OutgoingMessage>& outgoing, NodeEffects& out);
   void publish_entry(wire::EntryT entry, Micros now, NodeEffects& out);
   void adopt_workers(Micros now, NodeEffects& out);
+  void restore_worker(std::string const& id, Micros now);
   void send_reports(Micros now, NodeEffects& out);
   void forward_to_zone(wire::ChosenT const& update, NodeEffects& out);
   void propose(std::uint64_t id, Change change, Micros now, NodeEffects& out);
--- a/src/node/node_registered_workers.cc
+++ b/src/node/node_registered_workers.cc
@@ -24,6 +24,7 @@
 
 bool Node::handle_heartbeat(Heartbeat const& heartbeat, Micros now, NodeEffects& out) {
   detect_clock_jump(now);
+  restore_worker(heartbeat.id, now);
   bool const connected = worker_departures_.is_connected(now);
   // Another node owns the worker and still receives its heartbeats. A node that is cut off does not take the worker
   // over, since the others would not learn of it.
@@ -35,6 +36,14 @@
   return connected;
 }
 
+// §4.4: a worker that is missing from the registry but not from the entry table is known again. The table retains the
+// end of a worker longer than the registry does.
+void Node::restore_worker(std::string const& id, Micros now) {
+  if (registry.find(id) != nullptr) return;
+  std::map<std::string, wire::EntryT>::const_iterator const entry = mesh.entry_table.entries().find(id);
+  if (entry != mesh.entry_table.entries().end()) registry.take_entry(entry->second, now);
+}
+
 void Node::worker_left(std::string const& id, std::uint64_t call_sequence, Micros now, NodeEffects& out) {
   detect_clock_jump(now);
   if (std::optional<wire::EntryT> entry = registry.leave(id, call_sequence, now))
@@ -140,10 +149,9 @@
   }
   index_sync.tick(now, index_peers(), outgoing);
   if (now >= next_reconcile_) {
-    // §4.4: restores workers that are in the entry table but missing from the registry.
     next_reconcile_ = now + reconcile_interval;
     for (std::pair<std::string const, wire::EntryT> const& item : mesh.entry_table.entries())
-      if (registry.find(item.first) == nullptr) registry.take_entry(item.second, now);
+      restore_worker(item.first, now);
   }
   for (wire::EntryT& entry : registry.end_silent_workers(now)) publish_entry(std::move(entry), now, out);
   if (now >= next_adoption_) adopt_workers(now, out);
--- a/src/routing/registry/registry.cc
+++ b/src/routing/registry/registry.cc
@@ -23,7 +23,8 @@
 wire::EntryT Registry::entry_of(Instance const& instance) const {
   wire::EntryT out;
   out.key = instance.id;
-  out.incarnation = instance.order;
+  out.incarnation = instance.has_deregistered() ? deregistered_incarnation : instance.order;
+  out.deregistered = instance.has_deregistered();
   out.address = instance.address;
   out.zone = instance.zone;
   out.pool = instance.pool;
@@ -53,7 +54,9 @@
 std::optional<wire::EntryT> Registry::heartbeat(Heartbeat const& heartbeat, Micros now) {
   Instance& item = all[heartbeat.id];
   bool const first = item.id.empty();
-  if (!first && heartbeat.order < item.order) return std::nullopt;  // a delayed heartbeat
+  // A delayed heartbeat. After a deregistration it may have any number, since the deregistration need not have one.
+  if (!first && heartbeat.order < item.order) return std::nullopt;
+  if (item.has_deregistered() && guard_enabled(Guard::tombstone)) return std::nullopt;
   bool update = first || item.owner != self_ || item.address != heartbeat.address || item.zone != heartbeat.zone ||
                 item.pool != heartbeat.pool || item.slots != heartbeat.slots;
   if (first) {
@@ -72,9 +75,10 @@
   if (item.suspected >= 0 && item.consecutive_failures <= 1) item.ejected = -1;
   item.suspected = -1;
   WorkerState const reported = heartbeat.leaving ? WorkerState::draining : WorkerState::serving;
+  if (heartbeat.leaving) item.announced_end = std::max(item.announced_end, AnnouncedEnd::draining);
   // §4.3: an end announced by this incarnation is final; only an end by timeout is revoked.
   bool const end_is_final =
-      item.state == WorkerState::draining && reported == WorkerState::serving && guard_enabled(Guard::tombstone);
+      item.announced_end != AnnouncedEnd::none && reported == WorkerState::serving && guard_enabled(Guard::tombstone);
   if (item.state != reported && !end_is_final) {
     set_state(item, reported, now);
     update = true;
@@ -93,7 +97,8 @@
 std::optional<wire::EntryT> Registry::leave(std::string const& id, std::uint64_t order, Micros now) {
   Instance* const item = find(id);
   if (item == nullptr) return std::nullopt;
-  item->order = std::max(item->order, order) + deregistration_step;
+  item->order = std::max(item->order, order);
+  item->announced_end = AnnouncedEnd::deregistered;
   item->owner = self_;
   set_state(*item, WorkerState::ended, now);
   return entry_of(*item);
@@ -106,6 +111,13 @@
   return entry_of(item);
 }
 
+bool Registry::revokes_known_end(Instance const& instance, wire::EntryT const& entry) {
+  WorkerState const reported = static_cast<WorkerState>(entry.state);
+  if (instance.has_deregistered()) return reported != WorkerState::ended;
+  if (instance.state == WorkerState::serving || reported != WorkerState::serving) return false;
+  return instance.announced_end != AnnouncedEnd::none || entry.incarnation < instance.order;
+}
+
 std::optional<wire::EntryT> Registry::take_entry(wire::EntryT const& entry, Micros now) {
   if (is_secondary_report(entry.key) || entry.state > static_cast<std::uint8_t>(WorkerState::ended))
     return std::nullopt;
@@ -117,14 +129,14 @@
     item.state_since = now;
     item.state = reported;
     log_event(Event::worker_joined, entry.key + " at " + entry.address);
-  } else if ((entry.incarnation < item.order || item.state == WorkerState::draining) &&
-             item.state != WorkerState::serving && reported == WorkerState::serving &&
-             guard_enabled(Guard::local_veto)) {
+  } else if (revokes_known_end(item, entry) && guard_enabled(Guard::local_veto)) {
     // The peer's information is older: this node's entry is written again with a later stamp, so that all peers receive
     // it (§12.3). An end that the worker announced is not revoked, whichever node took its last heartbeat.
     item.order = std::max(item.order, entry.incarnation);
     return entry_of(item);
   }
+  if (reported == WorkerState::draining) item.announced_end = std::max(item.announced_end, AnnouncedEnd::draining);
+  if (entry.deregistered) item.announced_end = AnnouncedEnd::deregistered;
   item.address = entry.address;
   item.zone = entry.zone;
   item.pool = entry.pool;
--- a/src/routing/registry/registry.h
+++ b/src/routing/registry/registry.h
@@ -18,13 +18,20 @@
   std::string zone;
   std::string pool;
   std::int64_t slots = 0;
-  std::uint64_t order = 0;  // sequence number; rises with each call of this worker, so that delayed calls are ignored
+  // Sequence number. Nothing is known of it but that it rises with each call of this worker, so that delayed calls are
+  // ignored.
+  std::uint64_t order = 0;
   bool leaving = false;
 };
 
-// Added to a worker's sequence number when the worker deregisters: no heartbeat that it sent before or sends afterwards
-// is accepted, at any node that the entry reaches. The number also tells a deregistration from a timeout.
-constexpr std::uint64_t deregistration_step = 1000000;
+// The incarnation in the entry of a deregistered worker. Nodes of a build without the field 'deregistered' accept only
+// heartbeats with a number that is not below it. Such a node adds a million at each repeated deregistration, for which
+// the distance to the largest number leaves room.
+constexpr std::uint64_t deregistered_incarnation = UINT64_MAX - (std::uint64_t{1} << 40);
+
+// What a worker itself said of its end; it never takes this back. An end by timeout is not announced: the next
+// heartbeat revokes it.
+enum class AnnouncedEnd : std::uint8_t { none, draining, deregistered };
 
 // One start of a worker, as this node knows it. Times are monotonic.
 struct Instance {
@@ -34,6 +41,7 @@
   std::string pool;
   std::int64_t slots = 1;
   WorkerState state = WorkerState::serving;
+  AnnouncedEnd announced_end = AnnouncedEnd::none;
   std::uint64_t order = 0;
   std::string owner;           // node that took the last heartbeat with new data
   Micros last_heartbeat = -1;  // when this node last took a heartbeat; -1: never
@@ -67,7 +75,7 @@
   // Whether new requests may be sent to the worker.
   bool accepts_requests() const { return state == WorkerState::serving; }
   // Whether the worker deregistered itself, here or at a peer; it may still finish its running requests.
-  bool has_deregistered() const { return order >= deregistration_step; }
+  bool has_deregistered() const { return announced_end == AnnouncedEnd::deregistered; }
 };
 
 // Tracks registered workers and judges those whose heartbeats this node takes. Methods that return an entry leave it to
@@ -83,7 +91,8 @@
   // Takes a heartbeat while this node is cut off from its peers, whose node that owns the worker goes on receiving its
   // heartbeats: only records that the worker is alive. False if the worker is unknown or owned by this node.
   bool record_liveness(Heartbeat const& heartbeat, Micros now);
-  // Deregisters a worker for good. Returns the entry to write; none if the worker is unknown.
+  // Deregisters a worker for good: no heartbeat of it is accepted any more, whatever its number. 'order' is 0 if the
+  // call has no number. Returns the entry to write; none if the worker is unknown.
   std::optional<wire::EntryT> leave(std::string const& id, std::uint64_t order, Micros now);
   // Takes over a known worker whose owner is gone; its silence timeout starts anew. Returns the entry to write.
   wire::EntryT adopt(std::string const& id, Micros now);
@@ -111,6 +120,8 @@
 
  private:
   wire::EntryT entry_of(Instance const& instance) const;
+  // Whether this node knows of an end of the worker that the peer which sent the entry does not know of.
+  static bool revokes_known_end(Instance const& instance, wire::EntryT const& entry);
   bool many_suspected(Micros now) const;
   void set_state(Instance& instance, WorkerState state, Micros now);
 
--- a/testing/control_plane_simulator/worker_scenarios.cc
+++ b/testing/control_plane_simulator/worker_scenarios.cc
@@ -33,8 +33,8 @@
 }
 
 // Machines are cut off, restarted, or restarted while they are cut off. Meanwhile workers whose heartbeats go there
-// drain or take their leave.
-Report worker_ends(ScenarioPlan const& plan) {
+// drain or take their leave. With 'late_heartbeats' a heartbeat of most of them arrives after the acknowledgement.
+Report run_worker_ends(ScenarioPlan const& plan, bool late_heartbeats) {
   Fleet fleet(plan);
   World& world = fleet.world;
   SimulatedWorkers workers(world, fleet.judge, plan.seed);
@@ -56,6 +56,11 @@
     if (trouble & 2) restart(fleet, group);
     // A machine may be called before it is connected to any other.
     if (fleet.random.chance(0.5)) world.run(fleet.some(0, millis(800)));
+    if (late_heartbeats && fleet.random.chance(0.7)) {
+      MachineId const late_at = fleet.random.chance(0.4) ? group.front() : any_machine(fleet);
+      workers.hold_heartbeat(worker, fleet.some(millis(100), seconds(4)), late_at);
+      world.run(fleet.some(0, millis(300)));
+    }
     MachineId const called = fleet.random.chance(0.7) ? group.front() : any_machine(fleet);
     if (fleet.random.chance(0.5))
       workers.drain(worker, called);
@@ -71,12 +76,16 @@
   return fleet.finish(setting);
 }
 
+Report worker_ends(ScenarioPlan const& plan) { return run_worker_ends(plan, false); }
+Report late_heartbeats(ScenarioPlan const& plan) { return run_worker_ends(plan, true); }
+
 // The same in a fleet that is so large that entries are sent by their owners and repaired by digests (design, §3.6).
-Report worker_ends_in_a_large_fleet(ScenarioPlan const& plan) {
-  ScenarioPlan large = plan;
-  large.plain = large_fleet_machines;
-  return worker_ends(large);
+ScenarioPlan in_a_large_fleet(ScenarioPlan plan) {
+  plan.plain = large_fleet_machines;
+  return plan;
 }
+Report worker_ends_in_a_large_fleet(ScenarioPlan const& plan) { return worker_ends(in_a_large_fleet(plan)); }
+Report late_heartbeats_in_a_large_fleet(ScenarioPlan const& plan) { return late_heartbeats(in_a_large_fleet(plan)); }
 
 }  // namespace
 
@@ -84,6 +93,8 @@
   static std::vector<Scenario> const all = {
       {"worker_ends", 5, "workers leave while machines are cut off and restarted", worker_ends},
       {"worker_ends_in_a_large_fleet", 5, "the same with 29 machines and more", worker_ends_in_a_large_fleet},
+      {"late_heartbeats", 5, "the same with heartbeats that arrive after the end was acknowledged", late_heartbeats},
+      {"late_heartbeats_in_a_large_fleet", 5, "and with 29 machines and more", late_heartbeats_in_a_large_fleet},
   };
   return all;
 }
--- a/testing/platform_fleet_test/worker_heartbeats.cc
+++ b/testing/platform_fleet_test/worker_heartbeats.cc
@@ -2,6 +2,7 @@
 #include <simdjson.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 #include "base/json_writer.h"
@@ -11,7 +12,8 @@
 namespace pipit::platform_fleet {
 
 namespace {
-constexpr Micros leave_delay = millis(1500);  // from the end of the drain to the worker's exit
+constexpr Micros leave_delay = millis(1500);              // from the end of the drain to the worker's exit
+constexpr Micros longest_heartbeat_delay = millis(2500);  // after the worker's departure was acknowledged
 }  // namespace
 
 void Workers::call(Worker& worker, std::string const& address, std::string const& target, std::string const& body,
@@ -31,12 +33,13 @@
       std::move(callbacks), millis(1000));
 }
 
-void Workers::heartbeat(Worker& worker, int retries) {
-  // A worker that has sent Instances.Leave sends no more heartbeats.
-  bool const has_left = worker.state == State::draining && worker.drain_announced_at < 0;
-  if (stopping_ || worker.state == State::ended || worker.is_silent || has_left) return;
-  std::string const address = !worker.heartbeat_address.empty() ? worker.heartbeat_address : any_node(worker);
-  bool const leaving = worker.state == State::draining;
+std::uint64_t Workers::next_call_number(Worker& worker) {
+  std::uint64_t const clock = worker.numbers_by_clock ? static_cast<std::uint64_t>(g_get_real_time()) : 0;
+  worker.call_sequence = std::max(worker.call_sequence + 1, clock);
+  return worker.call_sequence;
+}
+
+std::string Workers::heartbeat_body(Worker& worker, bool leaving) const {
   JsonWriter json;
   json.begin_object()
       .key("service")
@@ -55,9 +58,32 @@
       .key("version")
       .number(1);
   json.key("adapters").begin_list().end_list().end_object().end_list();
-  json.key("call_sequence").number(static_cast<std::int64_t>(++worker.call_sequence)).end_object();
+  json.key("call_sequence").number(static_cast<std::int64_t>(next_call_number(worker))).end_object();
+  return json.take();
+}
+
+std::string Workers::leave_body(Worker& worker) {
+  std::uint64_t const number = next_call_number(worker);
+  return worker.numbers_by_clock ? "" : "{\"call_sequence\":" + std::to_string(number) + "}";
+}
+
+void Workers::deliver_late_heartbeat(Worker& worker, std::string const& body) {
+  Worker* const at = &worker;
+  run_after(static_cast<Micros>(random_.below(longest_heartbeat_delay)), [this, at, body] {
+    if (stopping_ || at->state == State::ended) return;
+    ++at->next_node;
+    call(*at, any_node(*at), "/Instances.Beat/" + at->id, body, [](bool, std::string const&) {});
+  });
+}
+
+void Workers::heartbeat(Worker& worker, int retries) {
+  // A worker that has sent Instances.Leave sends no more heartbeats.
+  bool const has_left = worker.state == State::draining && worker.drain_announced_at < 0;
+  if (stopping_ || worker.state == State::ended || worker.is_silent || has_left) return;
+  std::string const address = !worker.heartbeat_address.empty() ? worker.heartbeat_address : any_node(worker);
+  bool const leaving = worker.state == State::draining;
   Worker* const at = &worker;
-  call(worker, address, "/Instances.Beat/" + worker.id, json.take(),
+  call(worker, address, "/Instances.Beat/" + worker.id, heartbeat_body(worker, leaving),
        [this, at, address, leaving, retries](bool good, std::string const& body) {
          if (!good) {
            at->heartbeat_address.clear();
@@ -91,24 +117,26 @@
   });
 }
 
-// Sends Instances.Leave without draining first, and keeps serving for as long as after an acknowledged drain.
-void Workers::announce_leave(Worker& worker, int retries) {
+// Sends Instances.Leave without draining first, and keeps serving for as long as after an acknowledged drain. A
+// heartbeat sent just before it arrives after the acknowledgement.
+void Workers::announce_leave(Worker& worker, int retries, std::string const& late_heartbeat) {
   if (worker.state != State::up) return;
+  std::string const late = retries > 0 ? late_heartbeat : heartbeat_body(worker, false);
   std::string const address = !worker.heartbeat_address.empty() ? worker.heartbeat_address : any_node(worker);
   Worker* const at = &worker;
-  call(worker, address, "/Instances.Leave/" + worker.id,
-       "{\"call_sequence\":" + std::to_string(++worker.call_sequence) + "}",
-       [this, at, retries, address](bool good, std::string const&) {
+  call(worker, address, "/Instances.Leave/" + worker.id, leave_body(worker),
+       [this, at, retries, address, late](bool good, std::string const&) {
          if (!good) {
            at->heartbeat_address.clear();
            ++at->next_node;
-           if (retries < 6) return announce_leave(*at, retries + 1);
+           if (retries < 6) return announce_leave(*at, retries + 1, late);
            ++count_.unacknowledged_leaves;
            return end(*at, false);
          }
          at->state = State::draining;
          at->drain_acknowledged_at = now();
          at->drain_acknowledged_by = address;
+         deliver_late_heartbeat(*at, late);
          run_after(drain_duration + leave_delay, [this, at] { end(*at, false); });
        });
 }
@@ -122,8 +150,7 @@
   if (worker.state == State::ended) return;
   std::string const address = !worker.heartbeat_address.empty() ? worker.heartbeat_address : any_node(worker);
   Worker* const at = &worker;
-  call(worker, address, "/Instances.Leave/" + worker.id,
-       "{\"call_sequence\":" + std::to_string(++worker.call_sequence) + "}",
+  call(worker, address, "/Instances.Leave/" + worker.id, leave_body(worker),
        [this, at, retries](bool good, std::string const&) {
          if (!good && retries < 2) {
            at->heartbeat_address.clear();
--- a/testing/platform_fleet_test/worker_parts.h
+++ b/testing/platform_fleet_test/worker_parts.h
@@ -50,8 +50,9 @@
   unsigned listen_watch = 0;
   std::map<Connection*, std::shared_ptr<Connection>> conns;
   std::map<std::uint64_t, Job> jobs;
-  std::uint64_t call_sequence = 0;
-  std::string heartbeat_address;  // node that receives the heartbeats; empty to choose another one
+  std::uint64_t call_sequence = 0;  // number of its last call
+  bool numbers_by_clock = false;    // numbers its calls by a clock in microseconds instead of counting them
+  std::string heartbeat_address;    // node that receives the heartbeats; empty to choose another one
   std::size_t next_node = 0;
   std::shared_ptr<ClientConnection> line;
   Micros drain_announced_at = -1;     // time of the first heartbeat that says `draining`; -1 if none
--- a/testing/platform_fleet_test/workers.cc
+++ b/testing/platform_fleet_test/workers.cc
@@ -63,6 +63,7 @@
   worker.zone = zone;
   worker.service = service;
   worker.next_node = random_.below(nodes_.all.size());
+  worker.numbers_by_clock = last_id_ % 2 == 0;
   nodes_.zone_of[worker.ip] = zone;
   listen(worker);
   Worker* const at = &worker;
--- a/testing/platform_fleet_test/workers.h
+++ b/testing/platform_fleet_test/workers.h
@@ -85,12 +85,20 @@
   void advance();
   // Sends a heartbeat; `retries` is the number of failed attempts so far.
   void heartbeat(Worker& worker, int retries);
+  // The number of the worker's next call; it rises with each call.
+  static std::uint64_t next_call_number(Worker& worker);
+  // The body of a heartbeat with a number of its own.
+  std::string heartbeat_body(Worker& worker, bool leaving) const;
+  // The body of Instances.Leave; the pages show the call without one.
+  static std::string leave_body(Worker& worker);
+  // A heartbeat that the worker sent before it left reaches a node late.
+  void deliver_late_heartbeat(Worker& worker, std::string const& body);
   // POSTs JSON to a node. `done` is told whether the node answered 2xx within 1 s, and the body.
   void call(Worker& worker, std::string const& address, std::string const& target, std::string const& body,
             std::function<void(bool good, std::string const& body)> done);
   void drain(Worker& worker);
   void leave(Worker& worker, int retries);
-  void announce_leave(Worker& worker, int retries);
+  void announce_leave(Worker& worker, int retries, std::string const& late_heartbeat = "");
   std::string any_node(Worker& worker);
   void end(Worker& worker, bool reset);
   void reuse_address(std::string const& ip, std::string const& zone);
--- a/tests/control_plane.cc
+++ b/tests/control_plane.cc
@@ -232,6 +232,11 @@
 TEST(ControlPlane, an_acknowledged_end_binds_all_machines_when_it_is_reported_to_a_restarted_one) {
   for (std::uint64_t const seed : {15, 22, 27}) expect_clean("worker_ends", 0, 2, seed, 1);
 }
+// A worker that had deregistered was brought back by a heartbeat that came late, if its numbers rose in large steps.
+TEST(ControlPlane, an_acknowledged_end_is_not_revoked_by_a_late_heartbeat) {
+  for (int const variant : {0, 1, 2, 3}) expect_clean("late_heartbeats", 0, variant, 1, 2);
+  expect_clean("late_heartbeats_in_a_large_fleet", 0, -1, 1, 1);
+}
 // Peers acknowledged an entry that they had rejected for a newer one, so a restarted machine took it for replicated.
 TEST(ControlPlane, an_acknowledged_end_binds_all_machines_of_a_large_fleet) {
   for (std::uint64_t const seed : {2, 27}) expect_clean("worker_ends_in_a_large_fleet", 0, 2, seed, 1);
--- a/tests/registry.cc
+++ b/tests/registry.cc
@@ -111,6 +111,50 @@
   EXPECT_EQ(state_of(peer, "w"), WorkerState::ended);
 }
 
+// Guards against a late heartbeat that brings a worker back after its deregistration: of a worker's numbers is known
+// only that they rise, and a deregistration may have none.
+TEST_F(RegistryTest, deregistration_is_final_whatever_numbers_the_worker_uses) {
+  std::uint64_t const clock = 1700000000000000;  // microseconds
+  std::uint64_t const largest = UINT64_MAX;
+  registry.heartbeat(heartbeat_of("w", clock), 0);
+  std::optional<wire::EntryT> const deregistration = registry.leave("w", 0, 10);
+  ASSERT_TRUE(deregistration);
+  Registry peer("n2");
+  peer.heartbeat(heartbeat_of("w", clock), 0);
+  Registry newcomer("n3");
+  for (Registry* const node : {&peer, &newcomer}) EXPECT_FALSE(node->take_entry(*deregistration, 20));
+  for (std::uint64_t const order : {clock + 1200000, largest})
+    for (Registry* const node : {&registry, &peer, &newcomer})
+      for (bool const leaving : {false, true}) {
+        EXPECT_FALSE(node->heartbeat(heartbeat_of("w", order, leaving), 30));
+        EXPECT_EQ(state_of(*node, "w"), WorkerState::ended) << order;
+        std::optional<wire::EntryT> const answer =
+            node->take_entry(entry_of("w", order, WorkerState::serving, "n4"), 40);
+        ASSERT_TRUE(answer) << "a peer that missed the deregistration learns of it";
+        EXPECT_EQ(answer->state, static_cast<std::uint8_t>(WorkerState::ended));
+        EXPECT_EQ(state_of(*node, "w"), WorkerState::ended) << order;
+      }
+}
+
+// A node of an older build compares the number of an entry with that of a heartbeat.
+TEST_F(RegistryTest, deregistration_has_a_number_above_those_of_workers) {
+  registry.heartbeat(heartbeat_of("w", 1ull << 62), 0);
+  EXPECT_GT(registry.leave("w", 0, 10)->incarnation, 1ull << 63);
+  std::optional<wire::EntryT> const again = registry.leave("w", 0, 20);
+  ASSERT_TRUE(again);
+  EXPECT_LT(again->incarnation, UINT64_MAX - 1000000 * 1000ull) << "an older build adds to it at each repeated call";
+}
+
+TEST_F(RegistryTest, end_by_silence_does_not_revoke_draining) {
+  registry.heartbeat(heartbeat_of("w", 1), 0);
+  registry.heartbeat(heartbeat_of("w", 2, true), 10);
+  EXPECT_EQ(registry.end_silent_workers(4 * heartbeat_interval).size(), 1u);
+  registry.heartbeat(heartbeat_of("w", 3), 5 * heartbeat_interval);
+  EXPECT_NE(state_of(registry, "w"), WorkerState::serving);
+  EXPECT_TRUE(registry.take_entry(entry_of("w", 4, WorkerState::serving, "n2"), 5 * heartbeat_interval));
+  EXPECT_NE(state_of(registry, "w"), WorkerState::serving);
+}
+
 TEST_F(RegistryTest, deregistration_is_retained_for_a_while_on_every_node) {
   // Known here for a long time, but its heartbeats went to another node.
   registry.take_entry(entry_of("w", 5, WorkerState::serving, "n2"), 0);
