--- a/testing/mixed_versions.sh
+++ b/testing/mixed_versions.sh
@@ -250,6 +250,10 @@
     "$folder/platform_fleet_test" --shape tiny --seconds 8 --seed 5 --net 196 --node-program "$work/switching-node" \
     --folder "$work/nodes-$build" --troubles "change@0.5:count=1; kill@1:on=core,for=0.5; change@2; term@3; change@6"
 done
+# An acknowledged drain binds the nodes of the other build too, also where the node that takes it was just restarted.
+check "pipitspool-node of both builds: workers drain while nodes are killed" \
+  "$new/platform_fleet_test" --shape tiny --seconds 16 --seed 5 --net 196 --node-program "$work/switching-node" \
+  --folder "$work/nodes-drain" --troubles "release@1:count=8,gap=1.5; kill@2:count=1,for=0.5; kill@5:count=1,for=0.5; kill@8:count=1,for=0.5; kill@11:count=1,for=0.5"
 if [ "$old" != "$new" ]; then
   check "a node ran as both builds on one data folder" \
     sh -c "sed 's/ start [0-9]*//' starts.txt | sort -u | cut -d' ' -f1 | uniq -d | grep ."
