--- a/src/node/worker_departures.cc
+++ b/src/node/worker_departures.cc
@@ -51,8 +51,12 @@
 }
 
 void WorkerDepartures::record_known_nodes() {
+  MemberTable const& members = mesh_.members;
+  bool const unchanged = known_nodes_ && known_nodes_version_ == members.version;
+  if (unchanged && known_nodes_->size() == members.peers.size()) return;
+  known_nodes_version_ = members.version;
   known_nodes_.emplace();
-  for (std::pair<std::string const, Peer> const& item : mesh_.members.peers)
+  for (std::pair<std::string const, Peer> const& item : members.peers)
     known_nodes_->insert(known_nodes_->end(), item.first);
 }
 
--- a/src/node/worker_departures.h
+++ b/src/node/worker_departures.h
@@ -72,6 +72,7 @@
   // The peers in the member table at the last contact with a quorum; nullopt before the first one. The table itself may
   // lack nodes that run: it is empty after a start, and peers that stay unreachable are removed from it.
   std::optional<std::set<std::string>> known_nodes_;
+  std::uint64_t known_nodes_version_ = 0;  // of the member table when they were taken
 };
 
 }  // namespace pipit
