Logs and metrics say where changes of prefix indexes come from, and which node is the hub

Event 206 told of Deltas by frames and bytes only: whether nodes announced more, or sent on what they had been sent, could not be told apart. It now counts the changes that were announced here, taken from the zone, taken from hubs (and of these the ones taken while another node was this zone's hub) and dropped; the metrics have the same. Event 207 names the hub.

--- a/src/base/events.h
+++ b/src/base/events.h
@@ -27,6 +27,7 @@
   EVENT(204, frame_too_large, ERROR, "a frame over the size limit was not sent")                            \
   EVENT(205, peer_backlog_dropped, WARNING, "a peer read too slowly; the connection to it was dropped")     \
   EVENT(206, mesh_traffic_high, INFO, "mesh traffic of this node was high within one second")               \
+  EVENT(207, report_hub_changed, INFO, "another node passes on the reports of this zone")                   \
   EVENT(210, peer_alive, INFO, "a peer is alive")                                                           \
   EVENT(211, peer_suspected, WARNING, "a peer did not answer a probe")                                      \
   EVENT(212, peer_down, WARNING, "a peer is down")                                                          \
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -200,6 +200,7 @@
   void adopt_workers(Micros now, NodeEffects& out);
   void restore_worker(std::string const& id, Micros now);
   void send_reports(Micros now, NodeEffects& out);
+  void log_report_hub(GossipPaths const& paths);
   void forward_to_zone(wire::ChosenT const& update, NodeEffects& out);
   void propose(std::uint64_t id, Change change, Micros now, NodeEffects& out);
   void refuse_change(std::uint64_t id, Change const& change, ErrorCode code, NodeEffects& out);
@@ -245,6 +246,7 @@
   Micros next_loads_ = 0;
   Micros loads_sent_at_ = 0;
   std::string last_sent_loads_;
+  std::string report_hub_;  // of this node's zone, when last looked at
   bool list_read_in_flight_ = false;
   Micros list_read_started_at_ = 0;
   Micros last_list_read_at_ = -1;  // start of the last successful reading of the list; -1: none
--- a/src/node/node_registered_workers.cc
+++ b/src/node/node_registered_workers.cc
@@ -70,6 +70,13 @@
   send_messages(outgoing, now, out);
 }
 
+void Node::log_report_hub(GossipPaths const& paths) {
+  std::string const hub = !paths.hierarchical ? std::string() : paths.is_hub ? plan.name : paths.zone_hub;
+  if (hub == report_hub_) return;
+  report_hub_ = hub;
+  log_event(Event::report_hub_changed, hub.empty() ? "every node sends to all" : hub);
+}
+
 // §12.7: the replicas of a zone divide the zone's other nodes among themselves; each forwards a chosen value to its
 // share.
 void Node::forward_to_zone(wire::ChosenT const& update, NodeEffects& out) {
@@ -127,6 +134,7 @@
   GossipPaths const paths = exchange_topology_.compute_paths();
   // §12.7: an owner sends its entries to every peer itself; a hub also forwards them within its zone, for pairs of
   // nodes that have no connection.
+  log_report_hub(paths);
   mesh.entry_replication.forward_to_all = !paths.hierarchical;
   mesh.entry_replication.forward_targets.clear();
   if (paths.is_hub) mesh.entry_replication.forward_targets.insert(paths.zone_peers.begin(), paths.zone_peers.end());
--- a/src/routing/exchange/report_exchange.cc
+++ b/src/routing/exchange/report_exchange.cc
@@ -31,8 +31,15 @@
 
 void ReportExchange::report_index_change(std::string const& index_name, wire::DeltaT item) {
   if (item.base == 0 && item.tail.empty()) return;
-  std::vector<wire::DeltaT>& list = deltas_[index_name];
-  if (list.size() < deltas_max) list.push_back(std::move(item));
+  ++index_changes.announced;
+  queue_index_change(deltas_[index_name], std::move(item));
+}
+
+void ReportExchange::queue_index_change(std::vector<wire::DeltaT>& list, wire::DeltaT item) {
+  if (list.size() < deltas_max)
+    list.push_back(std::move(item));
+  else
+    ++index_changes.dropped;
 }
 
 void ReportExchange::forward(std::string const& from, wire::LoadsT const& message) {
@@ -49,9 +56,10 @@
 
 void ReportExchange::forward(wire::DeltasT const& message) {
   if (message.hops == Hops::last) return;
-  std::vector<wire::DeltaT>& list = (message.hops == Hops::to_hub ? deltas_ : cross_zone_deltas_)[message.model];
-  for (std::unique_ptr<wire::DeltaT> const& item : message.list)
-    if (list.size() < deltas_max) list.push_back(*item);
+  bool const from_zone = message.hops == Hops::to_hub;
+  (from_zone ? index_changes.from_zone : index_changes.from_hubs) += message.list.size();
+  std::vector<wire::DeltaT>& list = (from_zone ? deltas_ : cross_zone_deltas_)[message.model];
+  for (std::unique_ptr<wire::DeltaT> const& item : message.list) queue_index_change(list, *item);
 }
 
 wire::LoadsT ReportExchange::loads_of(std::vector<LoadReports const*> const& parts, std::uint8_t hops) {
@@ -111,6 +119,9 @@
   std::map<std::string, std::vector<wire::DeltaT>> const cross_zone_list = std::move(cross_zone_deltas_);
   deltas_.clear();
   cross_zone_deltas_.clear();
+  if (paths.hierarchical && !paths.is_hub)
+    for (std::pair<std::string const, std::vector<wire::DeltaT>> const& index : cross_zone_list)
+      index_changes.from_hubs_at_other += index.second.size();
   for (bool const cross_zone : {false, true})
     for (std::pair<std::string const, std::vector<wire::DeltaT>> const& index :
          cross_zone ? cross_zone_list : zone_list) {
--- a/src/routing/exchange/report_exchange.h
+++ b/src/routing/exchange/report_exchange.h
@@ -22,6 +22,15 @@
   std::vector<std::string> peers;        // every peer
 };
 
+// Changes of prefix indexes that a node announced or took from peers, since it started.
+struct IndexChangeCounters {
+  std::uint64_t announced = 0;           // by this node
+  std::uint64_t from_zone = 0;           // from nodes of this zone, to be passed on to other zones
+  std::uint64_t from_hubs = 0;           // from hubs of other zones, to be passed on in this zone
+  std::uint64_t from_hubs_at_other = 0;  // of these, taken while this node saw another node as the zone's hub
+  std::uint64_t dropped = 0;             // because too many were queued
+};
+
 // Collects the reports on workers of this node and, on a hub, of its peers, and batches them into messages. Messages
 // are neither retried nor acknowledged.
 class ReportExchange {
@@ -44,6 +53,8 @@
   // Appends the messages that are due to 'out'.
   void tick(Micros now, GossipPaths const& paths, std::vector<OutgoingMessage>& out);
 
+  IndexChangeCounters index_changes;
+
  private:
   struct LoadReport {
     Micros work = 0;            // predicted processing time of requests sent since the last message
@@ -52,6 +63,7 @@
   };
   using LoadReports = std::map<std::string, LoadReport>;  // by worker
   static wire::LoadsT loads_of(std::vector<LoadReports const*> const& parts, std::uint8_t hops);
+  void queue_index_change(std::vector<wire::DeltaT>& list, wire::DeltaT item);
   LoadReport& own_report(std::string const& worker) { return zone_reports_[self_][worker]; }
 
   std::string const self_;
--- a/src/runtime/mesh/frame_traffic.cc
+++ b/src/runtime/mesh/frame_traffic.cc
@@ -51,14 +51,23 @@
   return out;
 }
 
-void FrameTraffic::log_busy_second(Micros now) {
+std::string FrameTraffic::describe(IndexChangeCounters const& now, IndexChangeCounters const& before) {
+  return "announced " + std::to_string(now.announced - before.announced) + ", from the zone " +
+         std::to_string(now.from_zone - before.from_zone) + ", from hubs " +
+         std::to_string(now.from_hubs - before.from_hubs) + ", of these beside another hub " +
+         std::to_string(now.from_hubs_at_other - before.from_hubs_at_other) + ", dropped " +
+         std::to_string(now.dropped - before.dropped);
+}
+
+void FrameTraffic::log_busy_second(Micros now, IndexChangeCounters const& index_changes) {
   if (sampled_at_ >= 0 && now - sampled_at_ < sample_interval) return;
   bool const busy = total_bytes(received_) - total_bytes(received_at_sample_) > busy_second_bytes ||
                     total_bytes(sent_) - total_bytes(sent_at_sample_) > busy_second_bytes;
   if (busy && sampled_at_ >= 0)
     log_event(Event::mesh_traffic_high, "received " + largest_kinds(received_, received_at_sample_) + "; sent " +
-                                            largest_kinds(sent_, sent_at_sample_) + "; in " +
-                                            std::to_string((now - sampled_at_) / 1000) + " ms");
+                                            largest_kinds(sent_, sent_at_sample_) +
+                                            "; index changes: " + describe(index_changes, index_changes_at_sample_) +
+                                            "; in " + std::to_string((now - sampled_at_) / 1000) + " ms");
   sampled_at_ = now;
   received_at_sample_ = received_;
   sent_at_sample_ = sent_;
--- a/src/runtime/mesh/frame_traffic.h
+++ b/src/runtime/mesh/frame_traffic.h
@@ -8,6 +8,7 @@
 
 #include "base/metrics_text.h"
 #include "base/micros.h"
+#include "routing/exchange/report_exchange.h"
 #include "wire_generated.h"
 
 namespace pipit {
@@ -21,9 +22,10 @@
 
   // Adds a metrics row for each kind of frame that was sent or received.
   void write_metrics(MetricsText& text) const;
-  // Logs the largest kinds of frames of the last second if the traffic was more than a slow link can carry besides
-  // requests. To be called several times a second; writes at most one line per second.
-  void log_busy_second(Micros now);
+  // Logs the largest kinds of frames of the last second, and the changes of prefix indexes in it, if the traffic was
+  // more than a slow link can carry besides requests. To be called several times a second; writes at most one line per
+  // second.
+  void log_busy_second(Micros now, IndexChangeCounters const& index_changes);
 
  private:
   struct Count {
@@ -35,12 +37,14 @@
   static std::map<std::string, std::uint64_t> by_kind(Counts const& counts, std::uint64_t Count::*figure);
 
   static std::uint64_t total_bytes(Counts const& counts);
+  static std::string describe(IndexChangeCounters const& now, IndexChangeCounters const& before);
   static std::string largest_kinds(Counts const& now, Counts const& before);
 
   Counts sent_{};
   Counts received_{};
   Counts sent_at_sample_{};  // counters at the last sample
   Counts received_at_sample_{};
+  IndexChangeCounters index_changes_at_sample_;
   Micros sampled_at_ = -1;
 };
 
--- a/src/runtime/router_host.cc
+++ b/src/runtime/router_host.cc
@@ -334,7 +334,7 @@
                                                 static_cast<std::uint64_t>(std::max<Micros>(0, gap - millis(tick_ms))));
         host.last_tick_at_ = now();
         host.node_->tick(now(), out);
-        host.traffic_.log_busy_second(now());
+        host.traffic_.log_busy_second(now(), host.node_->exchange.index_changes);
         host.apply_effects(out);
         host.check_drain();
         return G_SOURCE_CONTINUE;
--- a/src/server/node_server.cc
+++ b/src/server/node_server.cc
@@ -265,7 +265,7 @@
   NodeEffects out;
   node_->tick(at, out);
   apply_effects(out);
-  traffic_.log_busy_second(at);
+  traffic_.log_busy_second(at, node_->exchange.index_changes);
   if (at >= next_cleanup_) {
     next_cleanup_ = at + millis(500);
     proxy_->close_expired(at);
--- a/src/server/node_server_status.cc
+++ b/src/server/node_server_status.cc
@@ -29,6 +29,13 @@
   return out;
 }
 
+std::map<std::string, std::uint64_t> index_changes_by_source(IndexChangeCounters const& counters) {
+  return {{"announced", counters.announced},
+          {"zone", counters.from_zone},
+          {"hubs", counters.from_hubs},
+          {"hubs_at_other", counters.from_hubs_at_other}};
+}
+
 constexpr std::size_t max_tenant_rows = 32;
 
 template <class Value>
@@ -152,6 +159,8 @@
   text.counter("pipit_connections_reused_total", proxy_->upstream.reused);
   text.counter("pipit_frames_in_total", node_->mesh.frames_received);
   text.counter("pipit_deltas_dropped_total", node_->index_sync.dropped);
+  text.counters("pipit_index_changes_total", "source", index_changes_by_source(node_->exchange.index_changes));
+  text.counter("pipit_index_changes_dropped_total", node_->exchange.index_changes.dropped);
   text.counter("pipit_tree_pulls_total", node_->index_sync.pulls);
   text.counter("pipit_clock_jumps_total", node_->clock_jumps);
   text.gauge("pipit_serial", node_->learner.serial());
