Reports between zones end in the zone that they were sent to, whichever hub a node selects

Cause: the receiver's own view decided what a message became. A node that a hub of another zone took for its zone's hub, and that itself saw a better one, sent index changes from other zones on as reports of its own zone; that hub told all zones again. With two such zones changes came back, in more copies each half second, up to the bound of 4,096 a list. Loads of other zones were dropped at such a node instead, so that its zone placed blindly. Why it works: a message says how far it has come, and its receiver does what is left whether or not it is a hub in its own view; what follows from a message is always nearer to its end, so no view of the members makes a circle.

--- a/src/node/exchange_topology.h
+++ b/src/node/exchange_topology.h
@@ -7,6 +7,7 @@
 //
 // Not synchronized: used by the node's loop only.
 #pragma once
+#include <map>
 #include <string>
 
 #include "mesh/mesh.h"
@@ -34,6 +35,13 @@
   std::string select_hub(std::string const& zone) const;
 
  private:
+  struct Hub {
+    std::string name;
+    bool replica = false;
+  };
+  // The hubs of all zones in which this node reaches a node, by zone.
+  std::map<std::string, Hub> select_hubs() const;
+
   TopologyPlan const plan_;
   Mesh const& mesh_;
 };
--- a/src/routing/exchange/report_exchange.cc
+++ b/src/routing/exchange/report_exchange.cc
@@ -1,6 +1,7 @@
 #include "routing/exchange/report_exchange.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pipit {
 
@@ -10,29 +11,30 @@
 constexpr Micros deltas_interval = millis(500);
 constexpr std::size_t deltas_max = 4096;  // queued changes per index
 
-// Which hop of the path through the hubs a message is on; a message on the last hop is not forwarded.
+// How far a message has come on the path through the hubs. Its receiver passes it on with a higher number only: the
+// first kind to its zone and to one node of each other zone, the second to its zone, the third to nobody.
 enum Hops : std::uint8_t { to_hub = 0, to_hubs = 1, last = 2 };
 }  // namespace
 
 void ReportExchange::report_work(std::string const& worker, Micros span) {
-  LoadReport& report = own_report(worker);
+  LoadReport& report = own_reports_[worker];
   report.work += span;
   urgent_ = urgent_ || report.work >= urgent_work_min;
 }
 
 void ReportExchange::report_load(std::string const& worker, std::int64_t running) {
-  own_report(worker).running = running;
+  own_reports_[worker].running = running;
 }
 
 void ReportExchange::report_suspect(std::string const& worker) {
-  own_report(worker).suspected = true;
+  own_reports_[worker].suspected = true;
   urgent_ = true;
 }
 
 void ReportExchange::report_index_change(std::string const& index_name, wire::DeltaT item) {
   if (item.base == 0 && item.tail.empty()) return;
   ++index_changes.announced;
-  queue_index_change(deltas_[index_name], std::move(item));
+  queue_index_change(own_changes_[index_name], std::move(item));
 }
 
 void ReportExchange::queue_index_change(std::vector<wire::DeltaT>& list, wire::DeltaT item) {
@@ -58,7 +60,7 @@
   if (message.hops == Hops::last) return;
   bool const from_zone = message.hops == Hops::to_hub;
   (from_zone ? index_changes.from_zone : index_changes.from_hubs) += message.list.size();
-  std::vector<wire::DeltaT>& list = (from_zone ? deltas_ : cross_zone_deltas_)[message.model];
+  std::vector<wire::DeltaT>& list = (from_zone ? zone_changes_ : cross_zone_changes_)[message.model];
   for (std::unique_ptr<wire::DeltaT> const& item : message.list) queue_index_change(list, *item);
 }
 
@@ -84,64 +86,74 @@
   return out;
 }
 
+wire::DeltasT ReportExchange::deltas_of(IndexChanges::value_type const& changes, std::uint8_t hops) {
+  wire::DeltasT out;
+  out.model = changes.first;
+  out.hops = hops;
+  for (wire::DeltaT const& item : changes.second) out.list.push_back(std::make_unique<wire::DeltaT>(item));
+  return out;
+}
+
+template <class Message>
+void ReportExchange::send_to(std::vector<std::string> const& names, Message const& message,
+                             std::vector<OutgoingMessage>& out) {
+  if (message.list.empty()) return;
+  for (std::string const& name : names) out.push_back(message_to(name, Message(message)));
+}
+
 void ReportExchange::tick(Micros now, GossipPaths const& paths, std::vector<OutgoingMessage>& out) {
-  bool const any = !zone_reports_.empty() || !cross_zone_reports_.empty();
-  if (any && (urgent_ || now >= next_loads_)) {
+  bool const any_loads = !own_reports_.empty() || !zone_reports_.empty() || !cross_zone_reports_.empty();
+  if (any_loads && (urgent_ || now >= next_loads_)) {
     urgent_ = false;
     next_loads_ = now + loads_interval;
-    std::vector<LoadReports const*> zone;
-    for (std::pair<std::string const, LoadReports> const& item : zone_reports_) zone.push_back(&item.second);
-    if (!paths.hierarchical) {
-      wire::LoadsT const message = loads_of(zone, Hops::last);
-      for (std::string const& name : paths.peers) out.push_back(message_to(name, wire::LoadsT(message)));
-    } else if (!paths.is_hub) {
-      if (!paths.zone_hub.empty()) out.push_back(message_to(paths.zone_hub, loads_of(zone, Hops::to_hub)));
-    } else {
-      // A node is not sent its own reports back: it would count them twice.
-      for (std::string const& name : paths.zone_peers) {
-        std::vector<LoadReports const*> parts{&cross_zone_reports_};
-        for (std::pair<std::string const, LoadReports> const& item : zone_reports_)
-          if (item.first != name) parts.push_back(&item.second);
-        wire::LoadsT message = loads_of(parts, Hops::last);
-        if (!message.list.empty()) out.push_back(message_to(name, std::move(message)));
-      }
-      if (!zone.empty()) {
-        wire::LoadsT const message = loads_of(zone, Hops::to_hubs);
-        for (std::string const& name : paths.remote_hubs) out.push_back(message_to(name, wire::LoadsT(message)));
-      }
-    }
-    zone_reports_.clear();
-    cross_zone_reports_.clear();
+    send_loads(paths, out);
+  }
+  bool const any_changes = !own_changes_.empty() || !zone_changes_.empty() || !cross_zone_changes_.empty();
+  if (any_changes && now >= next_deltas_) {
+    next_deltas_ = now + deltas_interval;
+    send_index_changes(paths, out);
+  }
+}
+
+void ReportExchange::send_loads(GossipPaths const& paths, std::vector<OutgoingMessage>& out) {
+  LoadReports const own = std::exchange(own_reports_, {});
+  ZoneReports zone = std::exchange(zone_reports_, {});
+  LoadReports const cross_zone = std::exchange(cross_zone_reports_, {});
+  if (paths.hierarchical && !paths.is_hub && !paths.zone_hub.empty())
+    send_to({paths.zone_hub}, loads_of({&own}, Hops::to_hub), out);
+  if (!paths.hierarchical || paths.is_hub) zone[self_] = own;
+  std::vector<LoadReports const*> of_zone;
+  for (ZoneReports::value_type const& item : zone) of_zone.push_back(&item.second);
+  if (!paths.hierarchical) return send_to(paths.peers, loads_of(of_zone, Hops::last), out);
+  // A node is not sent its own reports back: it would count them twice.
+  for (std::string const& name : paths.zone_peers) {
+    std::vector<LoadReports const*> parts{&cross_zone};
+    for (ZoneReports::value_type const& item : zone)
+      if (item.first != name) parts.push_back(&item.second);
+    send_to({name}, loads_of(parts, Hops::last), out);
+  }
+  send_to(paths.remote_hubs, loads_of(of_zone, Hops::to_hubs), out);
+}
+
+void ReportExchange::send_index_changes(GossipPaths const& paths, std::vector<OutgoingMessage>& out) {
+  IndexChanges const own = std::exchange(own_changes_, {});
+  IndexChanges zone = std::exchange(zone_changes_, {});
+  IndexChanges const cross_zone = std::exchange(cross_zone_changes_, {});
+  bool const passes_own_on = !paths.hierarchical || paths.is_hub;
+  for (IndexChanges::value_type const& changes : own) {
+    if (passes_own_on)
+      zone[changes.first].insert(zone[changes.first].end(), changes.second.begin(), changes.second.end());
+    else if (!paths.zone_hub.empty())
+      send_to({paths.zone_hub}, deltas_of(changes, Hops::to_hub), out);
+  }
+  for (IndexChanges::value_type const& changes : zone) {
+    send_to(paths.hierarchical ? paths.zone_peers : paths.peers, deltas_of(changes, Hops::last), out);
+    send_to(paths.remote_hubs, deltas_of(changes, Hops::to_hubs), out);
+  }
+  for (IndexChanges::value_type const& changes : cross_zone) {
+    if (!passes_own_on) index_changes.from_hubs_at_other += changes.second.size();
+    send_to(paths.zone_peers, deltas_of(changes, Hops::last), out);
   }
-  if (now < next_deltas_ || (deltas_.empty() && cross_zone_deltas_.empty())) return;
-  next_deltas_ = now + deltas_interval;
-  std::map<std::string, std::vector<wire::DeltaT>> const zone_list = std::move(deltas_);
-  std::map<std::string, std::vector<wire::DeltaT>> const cross_zone_list = std::move(cross_zone_deltas_);
-  deltas_.clear();
-  cross_zone_deltas_.clear();
-  if (paths.hierarchical && !paths.is_hub)
-    for (std::pair<std::string const, std::vector<wire::DeltaT>> const& index : cross_zone_list)
-      index_changes.from_hubs_at_other += index.second.size();
-  for (bool const cross_zone : {false, true})
-    for (std::pair<std::string const, std::vector<wire::DeltaT>> const& index :
-         cross_zone ? cross_zone_list : zone_list) {
-      wire::DeltasT message;
-      message.model = index.first;
-      for (wire::DeltaT const& item : index.second) message.list.push_back(std::make_unique<wire::DeltaT>(item));
-      message.hops = Hops::last;
-      std::vector<std::string> names = paths.peers;
-      if (paths.hierarchical && !paths.is_hub) {
-        message.hops = Hops::to_hub;
-        names.clear();
-        if (!paths.zone_hub.empty()) names.push_back(paths.zone_hub);
-      } else if (paths.hierarchical) {
-        names = paths.zone_peers;
-      }
-      for (std::string const& name : names) out.push_back(message_to(name, wire::DeltasT(message)));
-      if (!paths.hierarchical || !paths.is_hub || cross_zone) continue;
-      message.hops = Hops::to_hubs;
-      for (std::string const& name : paths.remote_hubs) out.push_back(message_to(name, wire::DeltasT(message)));
-    }
 }
 
 }  // namespace pipit
--- a/src/routing/exchange/report_exchange.h
+++ b/src/routing/exchange/report_exchange.h
@@ -12,7 +12,11 @@
 
 // Which peers this node sends reports to. In a small cluster every node sends to all peers. In a large one a node sends
 // to the hub of its zone; the hub aggregates the reports since its last message and sends them to the nodes of the zone
-// and to the hubs of the other zones.
+// and to the hubs of the other zones, which send them to the nodes of theirs.
+//
+// Nodes that see different members select different hubs. A message therefore tells how far it has come, and whoever
+// receives it does what is left to do, whether or not it is a hub in its own view. Each message that follows from
+// another one is closer to its end, so that no report goes in a circle.
 struct GossipPaths {
   bool hierarchical = false;             // reports travel through hubs
   bool is_hub = false;                   // this node is the hub of its zone
@@ -61,16 +65,24 @@
     std::int64_t running = -1;  // -1: not reported
     bool suspected = false;
   };
-  using LoadReports = std::map<std::string, LoadReport>;  // by worker
+  using LoadReports = std::map<std::string, LoadReport>;                  // by worker
+  using ZoneReports = std::map<std::string, LoadReports>;                 // by reporting node
+  using IndexChanges = std::map<std::string, std::vector<wire::DeltaT>>;  // by index name
   static wire::LoadsT loads_of(std::vector<LoadReports const*> const& parts, std::uint8_t hops);
+  static wire::DeltasT deltas_of(IndexChanges::value_type const& changes, std::uint8_t hops);
+  template <class Message>
+  static void send_to(std::vector<std::string> const& names, Message const& message, std::vector<OutgoingMessage>& out);
   void queue_index_change(std::vector<wire::DeltaT>& list, wire::DeltaT item);
-  LoadReport& own_report(std::string const& worker) { return zone_reports_[self_][worker]; }
+  void send_loads(GossipPaths const& paths, std::vector<OutgoingMessage>& out);
+  void send_index_changes(GossipPaths const& paths, std::vector<OutgoingMessage>& out);
 
   std::string const self_;
-  std::map<std::string, LoadReports> zone_reports_;                     // of this zone, by reporting node
-  LoadReports cross_zone_reports_;                                      // of other zones
-  std::map<std::string, std::vector<wire::DeltaT>> deltas_;             // of this zone, by index name
-  std::map<std::string, std::vector<wire::DeltaT>> cross_zone_deltas_;  // of other zones, by index name
+  LoadReports own_reports_;
+  ZoneReports zone_reports_;        // of this zone's other nodes, to be passed on to the zone and to the other zones
+  LoadReports cross_zone_reports_;  // of other zones, to be passed on to the zone
+  IndexChanges own_changes_;
+  IndexChanges zone_changes_;        // as zone_reports_
+  IndexChanges cross_zone_changes_;  // as cross_zone_reports_
   bool urgent_ = false;
   Micros next_loads_ = 0;
   Micros next_deltas_ = 0;
--- a/testing/control_plane_simulator/world.h
+++ b/testing/control_plane_simulator/world.h
@@ -24,7 +24,8 @@
 struct WorldPlan {
   std::uint64_t seed = 1;
   std::size_t disks = 3;
-  std::size_t plain = 3;      // machines without a disk
+  std::size_t plain = 3;  // machines without a disk
+  std::size_t zones = 3;
   std::size_t tolerated = 1;  // machines with a disk that may be lost at once
   Micros catch_up = seconds(4);
   Micros sync_least = 300;
--- a/tests/fleet_traffic.cc
+++ b/tests/fleet_traffic.cc
@@ -26,7 +26,8 @@
 
 struct FleetPlan {
   std::size_t nodes = 30;
-  std::size_t disks = 8;            // nodes with a disk, of all nodes
+  std::size_t disks = 8;  // nodes with a disk, of all nodes
+  std::size_t zones = 3;
   std::size_t worker_restarts = 0;  // per second
   Micros change_interval = 0;       // between configuration changes; 0 for none
   bool requests = true;
@@ -95,6 +96,8 @@
   }
   std::uint64_t changes = 0;
   Micros slowest_change = 0;
+  // Bytes per second and node, sent and received, of one type of frame.
+  double rate_of(wire::Body kind) { return 2 * rate(world.sent[kind].bytes) / static_cast<double>(plan.nodes); }
 
   World& machines() { return world; }
   // Number of workers that are serving in the view of a node.
@@ -109,6 +112,25 @@
     Instance const* const item = world.machine(observer).node->registry.find(workers[number].id);
     return item != nullptr && item->state == WorkerState::serving;
   }
+  // A node reports the load of a worker, and that the worker caches a prefix with the worker's number.
+  void report(MachineId id, std::size_t number) {
+    std::string const worker = workers[number].id;
+    world.enter(id, world.machine(id).process, [worker, number](Node& node, Micros, NodeEffects&) {
+      wire::DeltaT delta;
+      delta.tail.push_back(number + 1);
+      delta.weights.push_back(600);
+      delta.worker = worker;
+      node.exchange.report_index_change("s-llm/m", delta);
+      node.exchange.report_load(worker, 12);
+    });
+  }
+  // Whether a node knows both from the report of another node.
+  bool knows_report(std::size_t number, MachineId observer) {
+    Node& node = *world.machine(observer).node;
+    Instance const* const item = node.registry.find(workers[number].id);
+    bool const cached = node.index_sync.index("s-llm/m").match({number + 1}).count(workers[number].id) > 0;
+    return item != nullptr && item->reported_load == 12 && cached;
+  }
   // A worker announces its end to its node.
   void end_worker(std::size_t number) {
     Worker& worker = workers[number];
@@ -132,6 +154,7 @@
     out.seed = 3;
     out.disks = plan.disks;
     out.plain = plan.nodes - plan.disks;
+    out.zones = plan.zones;
     return out;
   }
   static std::string worker_id_of(std::size_t number, std::uint64_t incarnation) {
@@ -307,4 +330,49 @@
       EXPECT_FALSE(fleet.serves(worker, id)) << "worker " << worker << " at node " << id;
 }
 
+namespace {
+// One machine with a disk in each zone is the zone's hub. The hub of the first zone is cut off from the other hubs and
+// restarted: the others then select a plain machine for its zone, and it selects plain machines for theirs.
+FleetPlan one_hub_per_zone() {
+  FleetPlan plan;
+  plan.nodes = 48;
+  plan.disks = 6;
+  plan.zones = 6;
+  return plan;
+}
+void cut_first_hub_off(World& world) {
+  world.part({0}, {1, 2, 3, 4, 5});
+  world.kill(0);
+  world.run(millis(600));
+  world.boot(0);
+  world.run(seconds(6));
+}
+}  // namespace
+
+TEST(FleetTraffic, reports_do_not_circulate_while_zones_select_different_hubs) {
+  LoadedFleet fleet(one_hub_per_zone());
+  fleet.measure(seconds(4));
+  double const calm = fleet.rate_of(wire::Body::Deltas);
+  cut_first_hub_off(fleet.machines());
+  fleet.measure(seconds(4));
+  EXPECT_LE(fleet.rate_of(wire::Body::Deltas), 1.25 * calm) << fleet.table();
+}
+
+TEST(FleetTraffic, reports_reach_all_zones_while_zones_select_different_hubs) {
+  FleetPlan plan = one_hub_per_zone();
+  plan.requests = false;
+  LoadedFleet fleet(plan);
+  World& world = fleet.machines();
+  cut_first_hub_off(world);
+  constexpr MachineId reporter_in_first_zone = 6;
+  constexpr MachineId reporter_in_second_zone = 7;
+  for (MachineId const reporter : {reporter_in_first_zone, reporter_in_second_zone}) fleet.report(reporter, reporter);
+  world.run(seconds(2));
+  for (MachineId id = 0; id < plan.nodes; ++id)
+    for (MachineId const reporter : {reporter_in_first_zone, reporter_in_second_zone}) {
+      if (id == reporter) continue;
+      EXPECT_TRUE(fleet.knows_report(reporter, id)) << "report of " << reporter << " at node " << id;
+    }
+}
+
 }  // namespace pipit
