Event 206 counts the index changes of its own second

It counted them since the start of the process: the figures at the last sample were never taken anew. FrameTraffic.a_busy_second_is_logged_with_the_index_changes_of_that_second holds it.

--- a/src/runtime/mesh/frame_traffic.cc
+++ b/src/runtime/mesh/frame_traffic.cc
@@ -71,6 +71,7 @@
   sampled_at_ = now;
   received_at_sample_ = received_;
   sent_at_sample_ = sent_;
+  index_changes_at_sample_ = index_changes;
 }
 
 std::uint64_t FrameTraffic::total_bytes(Counts const& counts) {
