A zone without a reachable replica is served by a replica of another zone

Change: such a zone is served by one of the reachable replicas, chosen by rendezvous on the zone's name, and by its first node only if no replica is reachable. A replica that is cut off from all others serves all zones from its own. Evidence: FleetTraffic.plain_machines_do_not_pass_reports_on_while_a_machine_with_a_disk_can failed before (busiest plain machine 240,781 bytes a second against a mean of 77,224 with the hub down; 211,157 against 89,558 with it cut off). Price: machines with a disk that are cut off from each other miss each other's zones meanwhile, where plain machines had passed the reports on between them. Reports are best effort; FleetTraffic.reports_reach_all_zones_while_zones_select_different_hubs names just these pairs and holds for all others. ExchangeTopologyTest: the tests whose zones had no replica now give them one, and three new ones hold the rule.

--- a/src/node/exchange_topology.h
+++ b/src/node/exchange_topology.h
@@ -1,6 +1,7 @@
 // Topology of the exchange of worker reports between nodes (§12.7). In a small fleet every node sends to all peers. In
-// a large one nodes send within their zone, and one hub of each zone exchanges reports with the hubs of the other
-// zones.
+// a large one nodes send to the hub of their zone, and the hubs exchange reports with each other. Machines with a disk
+// have the links that a hub needs: a zone without a reachable replica is served by a replica of another zone, and by
+// one of its own nodes only if no replica is reachable at all.
 //
 // Stateless apart from this node's identity: each result is computed from the mesh's current members. Nodes that see
 // the same members select the same hubs.
@@ -30,17 +31,14 @@
 
   // The peers that this node sends to at present.
   GossipPaths compute_paths() const;
-  // The name of the zone's hub: the first reachable replica by name, else the first reachable node; empty if none is
-  // reachable.
+  // The name of the zone's hub: its first reachable replica by name, else one of the reachable replicas of other zones,
+  // else its first reachable node; empty if no node of the zone is reachable.
   std::string select_hub(std::string const& zone) const;
 
  private:
-  struct Hub {
-    std::string name;
-    bool replica = false;
-  };
-  // The hubs of all zones in which this node reaches a node, by zone.
-  std::map<std::string, Hub> select_hubs() const;
+  // The hubs of all zones in which this node reaches a node, by zone. This node reaches itself.
+  std::map<std::string, std::string> select_hubs() const;
+  void compute_hierarchical_paths(GossipPaths& paths) const;
 
   TopologyPlan const plan_;
   Mesh const& mesh_;
--- a/src/node/node_registered_workers.cc
+++ b/src/node/node_registered_workers.cc
@@ -137,7 +137,7 @@
   log_report_hub(paths);
   mesh.entry_replication.forward_to_all = !paths.hierarchical;
   mesh.entry_replication.forward_targets.clear();
-  if (paths.is_hub) mesh.entry_replication.forward_targets.insert(paths.zone_peers.begin(), paths.zone_peers.end());
+  if (paths.is_hub) mesh.entry_replication.forward_targets.insert(paths.served_peers.begin(), paths.served_peers.end());
   if (now >= next_index_round_) {
     next_index_round_ = now + index_round_interval;
     index_sync.round(
--- a/src/routing/exchange/report_exchange.cc
+++ b/src/routing/exchange/report_exchange.cc
@@ -126,7 +126,7 @@
   for (ZoneReports::value_type const& item : zone) of_zone.push_back(&item.second);
   if (!paths.hierarchical) return send_to(paths.peers, loads_of(of_zone, Hops::last), out);
   // A node is not sent its own reports back: it would count them twice.
-  for (std::string const& name : paths.zone_peers) {
+  for (std::string const& name : paths.served_peers) {
     std::vector<LoadReports const*> parts{&cross_zone};
     for (ZoneReports::value_type const& item : zone)
       if (item.first != name) parts.push_back(&item.second);
@@ -147,12 +147,12 @@
       send_to({paths.zone_hub}, deltas_of(changes, Hops::to_hub), out);
   }
   for (IndexChanges::value_type const& changes : zone) {
-    send_to(paths.hierarchical ? paths.zone_peers : paths.peers, deltas_of(changes, Hops::last), out);
+    send_to(paths.hierarchical ? paths.served_peers : paths.peers, deltas_of(changes, Hops::last), out);
     send_to(paths.remote_hubs, deltas_of(changes, Hops::to_hubs), out);
   }
   for (IndexChanges::value_type const& changes : cross_zone) {
     if (!passes_own_on) index_changes.from_hubs_at_other += changes.second.size();
-    send_to(paths.zone_peers, deltas_of(changes, Hops::last), out);
+    send_to(paths.served_peers, deltas_of(changes, Hops::last), out);
   }
 }
 
--- a/src/routing/exchange/report_exchange.h
+++ b/src/routing/exchange/report_exchange.h
@@ -18,12 +18,12 @@
 // receives it does what is left to do, whether or not it is a hub in its own view. Each message that follows from
 // another one is closer to its end, so that no report goes in a circle.
 struct GossipPaths {
-  bool hierarchical = false;             // reports travel through hubs
-  bool is_hub = false;                   // this node is the hub of its zone
-  std::string zone_hub;                  // the hub of this node's zone; empty if none is reachable
-  std::vector<std::string> zone_peers;   // peers in this node's zone
-  std::vector<std::string> remote_hubs;  // hubs of the other zones
-  std::vector<std::string> peers;        // every peer
+  bool hierarchical = false;              // reports travel through hubs
+  bool is_hub = false;                    // this node is the hub of its zone
+  std::string zone_hub;                   // the hub of this node's zone; empty if none is reachable
+  std::vector<std::string> served_peers;  // peers in this node's zone, and in other zones whose hub it is
+  std::vector<std::string> remote_hubs;   // hubs of the other zones
+  std::vector<std::string> peers;         // every peer
 };
 
 // Changes of prefix indexes that a node announced or took from peers, since it started.
