--- a/testing/control_plane_simulator/world.cc
+++ b/testing/control_plane_simulator/world.cc
@@ -510,7 +510,7 @@
   });
 }
 
-void World::count(Link const& link, std::string const& bytes) {
+void World::count(Link const& link, int side, std::string const& bytes) {
   ++frames;
   frame_bytes += bytes.size();
   if (bytes.empty()) return;
@@ -520,11 +520,12 @@
   one.bytes_moved += bytes.size();
   other.bytes_moved += bytes.size();
   sent[body].add(bytes.size());
+  machines[link.end[1 - side]]->received[body].add(bytes.size());
   if (one.zone != other.zone) between_zones[body].add(bytes.size());
 }
 
 void World::send(std::shared_ptr<Link> const& link, int side, std::string bytes, bool last) {
-  count(*link, bytes);
+  count(*link, side, bytes);
   Micros const due = std::max(link->latest[side] + 1, time + lag());
   link->latest[side] = due;
   link->queue[side].push_back(Link::Frame{due, std::move(bytes), last});
--- a/testing/control_plane_simulator/world.h
+++ b/testing/control_plane_simulator/world.h
@@ -79,8 +79,9 @@
 
   Micros stop_from = -1;  // since when a planned stop is under way
   bool announced = false;
-  std::size_t calls_under_way = 0;  // of operators
-  std::uint64_t bytes_moved = 0;    // in frames, sent and received
+  std::size_t calls_under_way = 0;            // of operators
+  std::uint64_t bytes_moved = 0;              // in frames, sent and received
+  std::map<wire::Body, FrameCount> received;  // frames that were sent to it, by kind
 
   int faults = 0;           // that it suffers now
   Micros calm_since = 0;    // the end of the last one
@@ -193,7 +194,7 @@
   void dial_fails(MachineId id, std::uint64_t process, std::string const& address, bool refused, Micros wait);
   void open_side(std::shared_ptr<Link> link, int side, std::string const& address);
   void send(std::shared_ptr<Link> const& link, int side, std::string bytes, bool last);
-  void count(Link const& link, std::string const& bytes);
+  void count(Link const& link, int side, std::string const& bytes);
   void schedule(std::shared_ptr<Link> const& link, int side);
   void deliver(std::shared_ptr<Link> const& link, int side);
   void hang_up(std::shared_ptr<Link> const& link, int side, bool silent);
--- a/tests/fleet_traffic.cc
+++ b/tests/fleet_traffic.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 
 #include "base/events.h"
+#include "mesh/frame.h"
 #include "testing/control_plane_simulator/node_view.h"
 #include "testing/control_plane_simulator/world.h"
 
@@ -111,6 +112,19 @@
   // Bytes per second and node, sent and received, of one type of frame.
   double rate_of(wire::Body kind) { return 2 * rate(world.sent[kind].bytes) / static_cast<double>(plan.nodes); }
 
+  // Sizes of messages with all entries and with all members.
+  std::uint64_t entry_table_bytes() {
+    wire::EntriesT message;
+    for (std::pair<std::string const, wire::EntryT> const& item : world.machine(0).node->mesh.entry_table.entries())
+      message.list.push_back(std::make_unique<wire::EntryT>(item.second));
+    return encode_message(std::move(message)).size();
+  }
+  std::uint64_t member_table_bytes() {
+    wire::MembershipUpdateT message;
+    message.table = world.machine(0).node->mesh.members.records_since();
+    return encode_message(std::move(message)).size();
+  }
+
   World& machines() { return world; }
   // Number of workers that are serving in the view of a node.
   std::size_t serving_at(MachineId id) {
@@ -320,6 +334,35 @@
   }
 }
 
+// Its three seeds send a restarted node what they know, and all others what is their own.
+TEST(FleetTraffic, restarted_nodes_receive_the_tables_from_few_peers) {
+  constexpr std::size_t restarts = 18;
+  constexpr std::uint64_t tables_allowed = 5;
+  FleetPlan plan;
+  plan.nodes = 90;
+  plan.disks = 6;
+  plan.requests = false;
+  LoadedFleet fleet(plan);
+  World& world = fleet.machines();
+  std::vector<MachineId> restarted;
+  for (std::size_t n = 0; n < restarts; ++n) restarted.push_back(plan.disks + 3 * n);
+  for (MachineId const id : restarted) world.kill(id);
+  world.run(millis(500));
+  for (MachineId const id : restarted) {
+    world.machine(id).received.clear();
+    world.boot(id);
+  }
+  world.run(seconds(1));
+  std::uint64_t const entry_table = fleet.entry_table_bytes();
+  std::uint64_t const member_table = fleet.member_table_bytes();
+  for (MachineId const id : restarted) {
+    EXPECT_EQ(world.machine(id).node->mesh.members.peers.size(), plan.nodes - 1) << "node " << id;
+    std::map<wire::Body, FrameCount>& received = world.machine(id).received;
+    EXPECT_LE(received[wire::Body::Entries].bytes, tables_allowed * entry_table) << "node " << id;
+    EXPECT_LE(received[wire::Body::MembershipUpdate].bytes, tables_allowed * member_table) << "node " << id;
+  }
+}
+
 // Worker ends on the other side of a network partition reach all nodes soon after it heals, although the node of one
 // worker was lost as well.
 TEST(FleetTraffic, worker_ends_reach_all_nodes_after_a_partition) {
