--- a/src/node/node_registered_workers.cc
+++ b/src/node/node_registered_workers.cc
@@ -132,9 +132,9 @@
 
 void Node::tick_registered_workers(Micros now, std::vector<OutgoingMessage>& outgoing, NodeEffects& out) {
   GossipPaths const paths = exchange_topology_.compute_paths();
+  log_report_hub(paths);
   // §12.7: an owner sends its entries to every peer itself; a hub also forwards them within its zone, for pairs of
   // nodes that have no connection.
-  log_report_hub(paths);
   mesh.entry_replication.forward_to_all = !paths.hierarchical;
   mesh.entry_replication.forward_targets.clear();
   if (paths.is_hub) mesh.entry_replication.forward_targets.insert(paths.served_peers.begin(), paths.served_peers.end());
