The fleet test carries a hundred nodes through its relay, and judges by the site's bounds

Idle routes are probed all the time, not only once a bound after each change: two more promises say that no process may show an older version than before, and that added routes are served.

--- a/testing/platform_fleet_test/judge.h
+++ b/testing/platform_fleet_test/judge.h
@@ -24,6 +24,8 @@
   X(lost, "a node cut a request in flight after SIGTERM")                                         \
   X(too_many_retries, "workers received more repeated requests than the retry budget allows")     \
   X(config_late, "a node did not apply an acknowledged change in time")                           \
+  X(config_back, "a node applied an older version after it had applied a newer one")              \
+  X(config_unserved, "routes that were added are served far less often than the first ones")      \
   X(config_two, "two changes based on one version were both acknowledged")                        \
   X(config_invalid, "an invalid configuration was acknowledged")                                  \
   X(config_refused, "a configuration that was refused, or lost to a concurrent one, is in force") \
--- a/testing/platform_fleet_test/nodes.cc
+++ b/testing/platform_fleet_test/nodes.cc
@@ -26,8 +26,6 @@
 namespace pipit::platform_fleet {
 
 namespace {
-// A node counts as in touch only this long after the last fault.
-constexpr Micros settle_time = seconds(3);
 // Time between SIGTERM and SIGKILL.
 constexpr Micros termination_grace = seconds(8);
 constexpr Micros restart_delay = millis(300);
@@ -35,6 +33,13 @@
 constexpr Micros max_ready_after_termination = seconds(2);
 constexpr unsigned mesh_port_last = 7315;
 
+// Third octet of a node's public and private IP address.
+constexpr char public_part[] = ".1.";
+constexpr char private_part[] = ".121.";
+
+// Position of the dot after the second octet.
+std::size_t second_octet_end(std::string const& ip) { return ip.find('.', ip.find('.') + 1); }
+
 std::string at_port(std::string const& ip, unsigned port) { return ip + ":" + std::to_string(port); }
 }  // namespace
 
@@ -53,22 +58,25 @@
   std::string const net = "127." + std::to_string(plan.net);
   node->name = "edge-" + zone + "-" + number;
   node->zone = zone;
-  node->ip = net + ".1." + number;
-  node->private_ip = plan.relay != nullptr ? net + ".121." + number : node->ip;
+  node->ip = net + public_part + number;
+  node->private_ip = plan.relay != nullptr ? net + private_part + number : node->ip;
   node->data_folder = plan.folder + "/" + node->name + "/data";
   node->log = plan.folder + "/" + node->name + "/log";
   node->core = core;
   node->seed = seed;
   zone_of[node->ip] = zone;
-  public_ip_of[node->private_ip] = node->ip;
   all.push_back(std::move(node));
   return *all.back();
 }
 
-std::string Nodes::public_address(std::string const& address) const {
-  std::size_t const colon = std::min(address.find(':'), address.size());
-  std::map<std::string, std::string>::const_iterator const position = public_ip_of.find(address.substr(0, colon));
-  return position == public_ip_of.end() ? address : position->second + address.substr(colon);
+std::string Nodes::public_address(std::string const& address) const { return public_ip(address); }
+
+bool Nodes::is_node_ip(std::string const& ip) { return ip.find(public_part) == second_octet_end(ip); }
+
+std::string Nodes::public_ip(std::string const& ip) {
+  std::size_t const at = ip.find(private_part);
+  if (at == std::string::npos || at != second_octet_end(ip)) return ip;
+  return ip.substr(0, at) + public_part + ip.substr(at + std::strlen(private_part));
 }
 
 Nodes::~Nodes() {
@@ -94,14 +102,19 @@
   for (std::unique_ptr<Node> const& item : all)
     if (item->seed && !item->removed) seeds += (seeds.empty() ? "" : ",") + item->control_address();
   file << "seed_addresses=" << seeds << "\nfirst_start=" << (first ? "true" : "false")
-       << "\nloss_counted=" << (node.core ? "true" : "false") << "\nlimits.processor_share=0.45\n";
+       << "\nloss_counted=" << (node.core ? "true" : "false") << "\nlimits.processor_share="
+       << (node.core ? shape.bounds.core_processor_share : shape.bounds.plain_processor_share) << "\n";
   if (node.core) file << "data_directory=" << node.data_folder << "\n";
   file << "discovery=registration\nentry=virtual_address\nbeat_interval_ms=1200\n"
-       << "contracts=base,drain,config,cost,retry,recover,engine,stream\ntolerated_losses.machines=1\n"
-       << "bounds.seed_lag_s=3\nbounds.address_reuse_s=2\nbounds.in_touch_ms=3000\nbounds.acknowledge_ms=4000\n"
-       << "bounds.drain_ms=2000\nbounds.grace_s=8\nbounds.configuration_ms=2000\n"
+       << "contracts=base,drain,config,cost,retry,recover,engine,stream\ntolerated_losses.machines="
+       << shape.bounds.tolerated_machines
+       << "\nbounds.seed_lag_s=3\nbounds.address_reuse_s=2\nbounds.in_touch_ms=" << shape.bounds.in_touch / 1000
+       << "\nbounds.acknowledge_ms=" << shape.bounds.acknowledge / 1000
+       << "\nbounds.drain_ms=" << shape.bounds.drain / 1000
+       << "\nbounds.grace_s=8\nbounds.configuration_ms=" << shape.bounds.configuration / 1000 << "\n"
        << "bounds.retry_budget_ratio=" << shape.retry_ratio << "\nbounds.budget_window_s=10\n"
-       << "bounds.extra_retries=" << shape.extra_retries << "\nbounds.pass_duration_ms=120\n";
+       << "bounds.extra_retries=" << shape.extra_retries
+       << "\nbounds.pass_duration_ms=" << shape.bounds.pass_duration / 1000 << "\n";
 }
 
 void Nodes::start(Node& node, bool first) {
@@ -190,7 +203,8 @@
   ::kill(node.pid, SIGHUP);
 }
 
-void Nodes::mark_link_fault(Node& node, Micros until) {
+void Nodes::mark_link_fault(Node& node, Micros until, bool cut_off) {
+  node.cut_off = cut_off && (node.cut_off || node.link_fault_until <= now());
   node.last_fault = now();
   node.link_fault_until = std::max(node.link_fault_until, until);
   record_unplanned_fault(until);
@@ -394,23 +408,37 @@
 }
 
 bool Nodes::in_touch(Node const& node, Micros at) const {
+  Micros const settle_time = shape.bounds.in_touch;
   if (at - last_loop_delay < settle_time) return false;
   if (node.pid <= 0 || node.frozen || node.terminating || at - node.last_fault < settle_time) return false;
-  if (at - node.link_fault_until < settle_time) return false;
-  for (std::unique_ptr<Node> const& item : all)
-    if (item->core && !item->removed && at - item->link_fault_until < settle_time) return false;
-  for (std::unique_ptr<Node> const& item : all)
-    if (item->core && !item->removed &&
-        (item->frozen || item->pid <= 0 || item->terminating || at - item->last_fault < settle_time))
-      return false;
-  return true;
+  return at - node.link_fault_until >= settle_time && core_is_settled(at);
+}
+
+// The rules' "settled": more than half of the core runs and is connected, and for the settle time no core node was
+// ended, started, stopped, continued, cut off or joined again. Core nodes that have been cut off or stopped for longer
+// don't excuse the others.
+bool Nodes::core_is_settled(Micros at) const {
+  Micros const settle_time = shape.bounds.in_touch;
+  std::size_t members = 0;
+  std::size_t connected = 0;
+  for (std::unique_ptr<Node> const& item : all) {
+    if (!item->core) continue;
+    if (at - item->last_fault < settle_time) return false;
+    if (item->removed) continue;
+    bool const has_link_fault = item->link_fault_until > at;
+    if (has_link_fault ? !item->cut_off : at - item->link_fault_until < settle_time) return false;
+    ++members;
+    if (item->pid > 0 && !item->frozen && !item->terminating && !has_link_fault) ++connected;
+  }
+  return connected * 2 > members;
 }
 
 bool Nodes::ended_by_planned_termination(Node const& node, Micros sent, Micros at) const {
   // After half of the grace period a request that a worker is still processing excuses the node.
   return node.termination_requested_at >= 0 && at >= node.termination_requested_at &&
-         at < node.termination_requested_at + termination_grace / 2 && sent - last_unplanned_fault > settle_time &&
-         sent - last_loop_delay > settle_time && at - last_loop_delay > settle_time;
+         at < node.termination_requested_at + termination_grace / 2 &&
+         sent - last_unplanned_fault > shape.bounds.in_touch && sent - last_loop_delay > shape.bounds.in_touch &&
+         at - last_loop_delay > shape.bounds.in_touch;
 }
 
 bool Nodes::all_in_touch(Micros at) const {
@@ -450,7 +478,8 @@
 // Adds up the mesh bytes from the kernel's socket diagnostics, which report the bytes that the peer of each connection
 // on this machine has acknowledged. Bytes of connections that end between two samples are partly missed.
 void Nodes::count_mesh_bytes() {
-  if (diagnostics_fd < 0) return;
+  // Connections through the relay are between a machine and the relay, so their ends tell no pair of machines.
+  if (diagnostics_fd < 0 || plan.relay != nullptr) return;
   struct {
     nlmsghdr head;
     inet_diag_req_v2 ask;
--- a/testing/platform_fleet_test/nodes.h
+++ b/testing/platform_fleet_test/nodes.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "base/random.h"
-#include "testing/platform_fleet_test/fault_proxy.h"
+#include "testing/platform_fleet_test/fault_relay.h"
 #include "testing/platform_fleet_test/judge.h"
 #include "testing/platform_fleet_test/line.h"
 #include "testing/platform_fleet_test/shapes.h"
@@ -33,6 +33,7 @@
   bool terminating = false;  // SIGTERM or SIGKILL was sent
   Micros last_fault = 0;
   Micros link_fault_until = 0;
+  bool cut_off = false;  // the only fault of its links is that they reach no other node, or none reaches it
   Micros termination_requested_at = -1;
   // Readiness as the platform's polls see it; two failed polls in a row take the node out of rotation.
   int failed_polls = 2;
@@ -83,10 +84,15 @@
   void replace(Node& node, Micros new_after);
   // Rewrites the node's settings file and sends SIGHUP.
   void reload(Node& node);
-  // Records a fault of the node's links until `until`: the node does not count as in touch.
-  void mark_link_fault(Node& node, Micros until);
+  // Records a fault of the node's links until `until`: the node does not count as in touch. 'cut_off': it cannot reach
+  // the other nodes, or they cannot reach it; otherwise its links are slow or lose messages.
+  void mark_link_fault(Node& node, Micros until, bool cut_off);
   // Translates a node's private address to the public one; returns other addresses unchanged.
   std::string public_address(std::string const& address) const;
+  // Whether a public IP address is a node's.
+  static bool is_node_ip(std::string const& ip);
+  // The public IP address of a machine, given its public or private one.
+  static std::string public_ip(std::string const& ip);
   // Reports the invariant violations (E910) in the logs, at most 3 for each node.
   void check_logs();
   // Reports the invariant violations in the metrics of the running nodes. Calls `done` once every request has ended.
@@ -111,7 +117,7 @@
   void record_unplanned_fault(Micros until) { last_unplanned_fault = std::max(last_unplanned_fault, until); }
   // Whether the planned termination of the node is the only fault that can have ended a request sent at `sent`.
   bool ended_by_planned_termination(Node const& node, Micros sent, Micros now) const;
-  // Whether the node and all core nodes have been free of faults for the settle time.
+  // Whether the node has been free of faults for the settle time and the core is settled.
   bool in_touch(Node const& node, Micros now) const;
   // Whether every node that was not removed is in touch.
   bool all_in_touch(Micros now) const;
@@ -138,6 +144,7 @@
   void poll(Node& node);
   void count_mesh_bytes();
   double cpu_of(Node const& node) const;
+  bool core_is_settled(Micros at) const;
 
   NodesPlan const plan;
   Shape const& shape;
@@ -146,7 +153,6 @@
   bool ending = false;
   int last_number = 0;
   std::deque<std::shared_ptr<ClientConnection>> metrics_connections;
-  std::map<std::string, std::string> public_ip_of;  // by private IP address
   Micros next_sample = 0;
   Micros last_loop_delay = -seconds(3600);
   Micros last_unplanned_fault = -seconds(3600);
--- a/testing/platform_fleet_test/operators.cc
+++ b/testing/platform_fleet_test/operators.cc
@@ -13,18 +13,26 @@
 namespace pipit::platform_fleet {
 
 namespace {
-// Time within which an acknowledged configuration is in force at every node that is in touch.
-constexpr Micros max_propagation_delay = seconds(2);
-constexpr Micros acknowledgement_timeout = seconds(4);
 // Time after which a call is not retried any more.
 constexpr Micros call_timeout = seconds(12);
 constexpr Micros read_interval = millis(250);
+constexpr Micros probe_interval = millis(50);
 constexpr std::size_t max_idle_routes = 4;
+constexpr std::size_t max_recent_routes = 6;
+constexpr std::ptrdiff_t max_open_probes = 1000;
+constexpr int unknown_route = 1000000;  // added to the number of a route, gives one that was never added
+// A process that has just been disturbed may go back for longer.
+constexpr int disturbed_slack_factor = 8;
+constexpr std::uint64_t min_added_checks = 20;
+constexpr double min_added_share = 0.25;
 
 std::string idle_name(int number) { return "r-idle" + std::to_string(number); }
 std::string idle_host(int number) { return "idle" + std::to_string(number) + ".example"; }
 std::string idle_path(int number) { return "/idle" + std::to_string(number) + "/"; }
 
+bool is_idle_name(std::string const& name) { return name.compare(0, 6, "r-idle") == 0; }
+int number_of_idle(std::string const& name) { return std::atoi(name.c_str() + 6); }
+
 std::string route_text(std::string const& name, std::string const& host, std::string const& path,
                        std::string const& service, RequestClass const& of) {
   JsonWriter json;
@@ -196,7 +204,7 @@
 std::string Operators::oldest_idle(Configuration const& from) const {
   std::vector<int> numbers;
   for (std::pair<std::string const, std::string> const& route : from.routes)
-    if (route.first.compare(0, 6, "r-idle") == 0) numbers.push_back(std::atoi(route.first.c_str() + 6));
+    if (is_idle_name(route.first)) numbers.push_back(number_of_idle(route.first));
   if (numbers.size() < max_idle_routes) return "";
   return idle_name(*std::min_element(numbers.begin(), numbers.end()));
 }
@@ -228,7 +236,7 @@
     std::uint64_t const version = at == std::string::npos ? 0 : std::strtoull(body->c_str() + at + 10, nullptr, 10);
     std::uint64_t least = 0;
     for (std::pair<Micros, std::uint64_t> const& item : acknowledgements)
-      if (item.first + max_propagation_delay < sent_at) least = std::max(least, item.second);
+      if (item.first + shape.bounds.configuration < sent_at) least = std::max(least, item.second);
     if (version < least)
       judge.report_violation(Promise::read_older, name + " returned version " + std::to_string(version) +
                                                       " to a read after version " + std::to_string(least) +
@@ -255,7 +263,7 @@
   Configuration const changed = with_new_idle_route(base, ++last_idle, drop);
   sent[changed.version].push_back(changed);
   if (!drop.empty()) {
-    IdleRoute& dropped = idle_routes[std::atoi(drop.c_str() + 6)];
+    IdleRoute& dropped = idle_routes[number_of_idle(drop)];
     if (dropped.removal_sent < 0) dropped.removal_sent = now();
   }
   bool const amend = random.chance(0.5);
@@ -279,7 +287,7 @@
   // Whether all nodes stayed in touch is known only at the end of the acknowledgement timeout.
   std::shared_ptr<bool> const answered = std::make_shared<bool>(false);
   if (nodes.all_in_touch(began))
-    run_after(acknowledgement_timeout + millis(3) * static_cast<Micros>(changed.routes.size()),
+    run_after(shape.bounds.acknowledge + millis(3) * static_cast<Micros>(changed.routes.size()),
               [this, answered, changed] {
                 if (!*answered && nodes.all_in_touch(now()))
                   judge.report_violation(Promise::config_unacknowledged,
@@ -443,32 +451,51 @@
 
 void Operators::schedule_route_probes(Configuration const& configuration, Configuration const& before) {
   Micros const at = now();
-  std::vector<int> added;
-  std::vector<int> removed;
-  for (std::pair<std::string const, std::string> const& route : configuration.routes)
-    if (route.first.compare(0, 6, "r-idle") == 0 && before.routes.count(route.first) == 0)
-      added.push_back(std::atoi(route.first.c_str() + 6));
-  for (std::pair<std::string const, std::string> const& route : before.routes)
-    if (route.first.compare(0, 6, "r-idle") == 0 && configuration.routes.count(route.first) == 0)
-      removed.push_back(std::atoi(route.first.c_str() + 6));
-  for (int const number : added) idle_routes[number].added = at;
-  for (int const number : removed) idle_routes[number].removed = at;
+  std::vector<int> changed;
+  for (std::pair<std::string const, std::string> const& route : configuration.routes) {
+    if (!is_idle_name(route.first) || before.routes.count(route.first) > 0) continue;
+    IdleRoute& added = idle_routes[number_of_idle(route.first)];
+    added.added = at;
+    added.added_version = configuration.version;
+    changed.push_back(number_of_idle(route.first));
+  }
+  for (std::pair<std::string const, std::string> const& route : before.routes) {
+    if (!is_idle_name(route.first) || configuration.routes.count(route.first) > 0) continue;
+    IdleRoute& removed = idle_routes[number_of_idle(route.first)];
+    removed.removed = at;
+    removed.removed_version = configuration.version;
+    changed.push_back(number_of_idle(route.first));
+  }
+  for (int const number : changed) recently_changed_routes.push_back(number);
+  while (recently_changed_routes.size() > max_recent_routes) recently_changed_routes.pop_front();
   // Only a sample of the changes in a storm is probed, so that the probes don't dominate the traffic.
-  if (added.size() + removed.size() == 0 || (tally.changes > 20 && !random.chance(0.3))) return;
-  run_after(max_propagation_delay + millis(5), [this, added, removed] {
+  if (changed.empty() || (tally.changes > 20 && !random.chance(0.3))) return;
+  run_after(shape.bounds.configuration + millis(5), [this, changed] {
     for (std::unique_ptr<Node> const& node : nodes.all) {
       if (node->pid <= 0 || !node->in_rotation || node->removed) continue;
-      for (int const number : added) probe_route(*node, number, true);
-      for (int const number : removed) probe_route(*node, number, false);
+      for (int const number : changed) probe_route(*node, number);
     }
     Node& any = nodes.random_node(random);
-    if (any.pid > 0 && any.in_rotation) probe_route(any, 1000000 + last_idle, false);
+    if (any.pid > 0 && any.in_rotation) probe_route(any, unknown_route + last_idle);
   });
 }
 
-void Operators::probe_route(Node& node, int number, bool expected) {
+int Operators::recent_route() {
+  if (recently_changed_routes.empty()) return 0;
+  return recently_changed_routes[random.below(recently_changed_routes.size())];
+}
+
+void Operators::probe_periodically() {
+  run_every(probe_interval, [this] {
+    Node& node = nodes.random_node(random);
+    int const number = recent_route();
+    if (number > 0 && node.pid > 0 && node.in_rotation && !reading_stopped) probe_route(node, number);
+    return !reading_stopped;
+  });
+}
+
+void Operators::probe_route(Node& node, int number) {
   ++tally.checks;
-  Micros const at = now();
   RequestClass const& of = shape.classes.back();
   Attempt attempt;
   attempt.id = "check-" + std::to_string(++last_probe);
@@ -478,48 +505,107 @@
   attempt.repeatable = of.resumable;
   attempt.events = 1;
   attempt.node = node.name;
-  attempt.sent = at;
-  Attempt* const sent_attempt = &judge.record_sent(attempt);
+  attempt.sent = now();
   std::string const headers = "X-Request-Attempt: " + attempt.id + "\r\nX-Model-Name: " + shape.model +
                               "\r\nX-Token-Counts: 20," + std::to_string(shape.engine.tokens_per_event) +
                               "\r\nX-Prompt-Prefix: " + std::to_string(number) +
                               "a:20\r\nX-Deadline-Remaining: 3000\r\nConnection: close\r\n";
+  std::shared_ptr<Probe> const probe = std::make_shared<Probe>();
+  probe->node = &node;
+  probe->process = node.pid;
+  probe->route = number;
+  probe->sent = attempt.sent;
+  probe->attempt = &judge.record_sent(attempt);
   std::shared_ptr<ClientConnection> const connection =
       ClientConnection::dial(node.front_address(), "127." + std::to_string(net) + ".6.2", millis(1000));
   probes.push_back(connection);
-  if (probes.size() > 200) probes.erase(probes.begin(), probes.begin() + 100);
-  std::shared_ptr<unsigned> const status = std::make_shared<unsigned>(0);
-  std::shared_ptr<StreamProgress> const reading = std::make_shared<StreamProgress>();
-  Node* const probed_node = &node;
+  if (probes.size() > max_open_probes) probes.erase(probes.begin(), probes.begin() + max_open_probes / 2);
   ClientConnection::Callbacks callbacks;
-  callbacks.head = [this, status, sent_attempt](unsigned code) {
-    *status = code;
-    if (code == 408 || code == 421 || code == 429 || code == 503) judge.record_refusal(*sent_attempt, code);
+  callbacks.head = [this, probe](unsigned code) {
+    probe->status = code;
+    if (code == 408 || code == 421 || code == 429 || code == 503) judge.record_refusal(*probe->attempt, code);
   };
-  callbacks.body = [this, status, sent_attempt, reading](std::string_view bytes) {
-    if (*status == 200) judge.read_events(*sent_attempt, *reading, bytes, now());
+  callbacks.body = [this, probe](std::string_view bytes) {
+    if (probe->status == 200) judge.read_events(*probe->attempt, probe->reading, bytes, now());
   };
   std::weak_ptr<ClientConnection> const weak = connection;
-  callbacks.end = [this, status, sent_attempt, reading, probed_node, number, expected, at,
-                   weak](ClientConnection::Outcome outcome) {
-    if (outcome == ClientConnection::Outcome::complete && *status == 200)
+  callbacks.end = [this, probe, weak](ClientConnection::Outcome outcome) {
+    if (outcome == ClientConnection::Outcome::complete && probe->status == 200)
       if (std::shared_ptr<ClientConnection> const own = weak.lock())
-        judge.record_complete(*sent_attempt, *reading, own->field("x-server-seal"));
-    if (!nodes.in_touch(*probed_node, at) || !nodes.in_touch(*probed_node, now())) return;
-    std::map<int, IdleRoute>::const_iterator const route = idle_routes.find(number);
-    if (expected && *status == 404 && route != idle_routes.end() && route->second.removal_sent < 0)
-      judge.report_violation(Promise::config_late, probed_node->name + " does not serve " + idle_name(number) +
-                                                       ", whose addition was acknowledged " +
-                                                       std::to_string((at - route->second.added) / 1000) +
-                                                       " ms earlier");
-    if (!expected && (sent_attempt->runs > 0 || *status == 200))
-      judge.report_violation(Promise::config_late, probed_node->name + " still serves " + idle_name(number) +
-                                                       " after its removal was acknowledged");
+        judge.record_complete(*probe->attempt, probe->reading, own->field("x-server-seal"));
+    judge_probe(*probe);
   };
   connection->send_request(request_of("POST", idle_path(number) + "x", idle_host(number), headers, "look"),
                            std::move(callbacks), seconds(4));
 }
 
+void Operators::judge_probe(Probe const& probe) {
+  std::map<int, IdleRoute>::const_iterator const position = idle_routes.find(probe.route);
+  bool const in_touch = nodes.in_touch(*probe.node, probe.sent) && nodes.in_touch(*probe.node, now());
+  if (position == idle_routes.end()) {
+    if (in_touch && (probe.attempt->runs > 0 || probe.status == 200))
+      judge.report_violation(Promise::config_late, probe.node->name + " serves a route that was never added");
+    return;
+  }
+  if (in_touch) judge_late_probe(probe, position->second);
+  judge_older_version(probe, position->second);
+}
+
+// A request that was sent later than the propagation delay after a change must not be handled as before it.
+void Operators::judge_late_probe(Probe const& probe, IdleRoute const& route) {
+  bool const served = probe.attempt->runs > 0 || probe.status == 200;
+  bool const added = route.added >= 0 && route.removal_sent < 0;
+  bool const removed = route.removed >= 0;
+  if (added && probe.status == 404 && probe.sent > route.added)
+    tally.slowest_effect = std::max(tally.slowest_effect, probe.sent - route.added);
+  if (removed && served && probe.sent > route.removed)
+    tally.slowest_effect = std::max(tally.slowest_effect, probe.sent - route.removed);
+  if (added && probe.sent > route.added + shape.bounds.configuration) {
+    ++tally.added_checks;
+    if (probe.status == 200) ++tally.added_served;
+    if (probe.status == 404)
+      judge.report_violation(Promise::config_late, probe.node->name + " does not serve " + idle_name(route.number) +
+                                                       ", whose addition was acknowledged " +
+                                                       std::to_string((probe.sent - route.added) / 1000) +
+                                                       " ms earlier");
+  }
+  if (removed && served && probe.sent > route.removed + shape.bounds.configuration)
+    judge.report_violation(Promise::config_late, probe.node->name + " still serves " + idle_name(route.number) + " " +
+                                                     std::to_string((probe.sent - route.removed) / 1000) +
+                                                     " ms after its removal was acknowledged");
+}
+
+// Within the life of a process no request may be handled by an older version than an earlier one.
+void Operators::judge_older_version(Probe const& probe, IdleRoute const& route) {
+  bool const served = probe.attempt->runs > 0 || probe.status == 200;
+  std::map<pid_t, ShownVersion>::const_iterator const shown = shown_versions.find(probe.process);
+  if (shown != shown_versions.end()) {
+    bool const disturbed = now() - probe.node->last_fault < shape.bounds.in_touch;
+    Micros const slack = shape.bounds.downgrade_slack * (disturbed ? disturbed_slack_factor : 1);
+    std::uint64_t const version = shown->second.version;
+    bool const removed_before = served && route.removed_version > 0 && route.removed_version <= version;
+    bool const added_before =
+        probe.status == 404 && route.removal_sent < 0 && route.added_version > 0 && route.added_version <= version;
+    if ((removed_before || added_before) && probe.sent > shown->second.at + slack)
+      judge.report_violation(Promise::config_back, probe.node->name + (served ? " served " : " did not know ") +
+                                                       idle_name(route.number) + " " +
+                                                       std::to_string((probe.sent - shown->second.at) / 1000) +
+                                                       " ms after it had shown version " + std::to_string(version));
+  }
+  if (!served) return;
+  ShownVersion& newest = shown_versions[probe.process];
+  if (route.added_version > newest.version) newest = ShownVersion{route.added_version, now()};
+}
+
+void Operators::check_added_routes(double first_routes_share) {
+  if (tally.added_checks < min_added_checks) return;
+  double const share = static_cast<double>(tally.added_served) / static_cast<double>(tally.added_checks);
+  if (share >= first_routes_share * min_added_share) return;
+  judge.report_violation(Promise::config_unserved, std::to_string(tally.added_served) + " of " +
+                                                       std::to_string(tally.added_checks) +
+                                                       " requests for added routes were served");
+}
+
 void Operators::read_back(Micros span, std::function<void()> done) { read_until(now() + span, std::move(done)); }
 
 void Operators::read_until(Micros until, std::function<void()> done) {
--- a/testing/platform_fleet_test/operators.h
+++ b/testing/platform_fleet_test/operators.h
@@ -27,7 +27,10 @@
   std::uint64_t conflicts = 0;  // changes rejected (412) without a concurrent change
   std::uint64_t races = 0;
   std::uint64_t invalid = 0;
-  std::uint64_t checks = 0;  // requests that probe which configuration a node serves
+  std::uint64_t checks = 0;        // requests that probe which configuration a node serves
+  std::uint64_t added_checks = 0;  // of those, judged ones of routes that must be in force
+  std::uint64_t added_served = 0;
+  Micros slowest_effect = 0;  // from a change's acknowledgement to the last probe that was answered without it
   std::uint64_t read_back = 0;
   std::uint64_t readings = 0;  // periodic reads, each at a random node
   std::vector<Micros> acks;    // duration of each acknowledged change
@@ -47,6 +50,13 @@
   // Reads the configuration at random nodes until stop_reading(). No read may return a version that was replaced longer
   // ago than the propagation delay.
   void read_periodically();
+  // Sends requests for the newest routes to random nodes until stop_reading(). None may be handled by a version that
+  // was replaced longer ago than the propagation delay, and none by an older version than the same process has shown
+  // before.
+  void probe_periodically();
+  // Checks that routes that were added are served at a quarter of `first_routes_share` at least, the served share of
+  // the requests for the first routes.
+  void check_added_routes(double first_routes_share);
   // Ends read_periodically().
   void stop_reading() { reading_stopped = true; }
   // Reads the configuration back repeatedly for `span`, then calls `done`.
@@ -85,7 +95,24 @@
     int number = 0;
     Micros added = -1;  // time of the acknowledgement; -1 for not yet
     Micros removal_sent = -1;
-    Micros removed = -1;  // time of the acknowledgement
+    Micros removed = -1;                // time of the acknowledgement
+    std::uint64_t added_version = 0;    // 0 until the acknowledgement
+    std::uint64_t removed_version = 0;  // the same
+  };
+  // The newest version whose effect a process has shown.
+  struct ShownVersion {
+    std::uint64_t version = 0;
+    Micros at = 0;
+  };
+  // A request for an idle route, to see which configuration a node has in force.
+  struct Probe {
+    Node* node = nullptr;
+    pid_t process = 0;
+    int route = 0;
+    Micros sent = 0;
+    Attempt* attempt = nullptr;
+    unsigned status = 0;
+    StreamProgress reading;
   };
   using Task = std::function<void(std::function<void()> done)>;
 
@@ -110,8 +137,13 @@
   bool find_sent(std::string const& body, Configuration& out);
   // Probes the routes that a change added or removed at every node in rotation, after the propagation delay.
   void schedule_route_probes(Configuration const& configuration, Configuration const& before);
-  // Sends a request to an idle route at a node and checks whether the node serves it as `expected`.
-  void probe_route(Node& node, int number, bool expected);
+  // Sends a request for an idle route to a node and judges the answer.
+  void probe_route(Node& node, int number);
+  void judge_probe(Probe const& probe);
+  void judge_late_probe(Probe const& probe, IdleRoute const& route);
+  void judge_older_version(Probe const& probe, IdleRoute const& route);
+  // A route that was added or removed lately; 0 if there is none.
+  int recent_route();
   std::string oldest_idle(Configuration const& from) const;
 
   Shape const& shape;
@@ -126,6 +158,8 @@
   std::map<std::uint64_t, std::string> unsettled;  // changes without a definite result: canonical text by version
   std::set<std::string> rejected;                  // canonical texts of rejected changes, which must never be in force
   std::map<int, IdleRoute> idle_routes;
+  std::deque<int> recently_changed_routes;       // by acknowledged changes, oldest first
+  std::map<pid_t, ShownVersion> shown_versions;  // by process of a node
   int last_idle = 0;
   std::uint64_t last_version = 0;
   std::uint64_t last_probe = 0;
--- a/testing/platform_fleet_test/platform_fleet.cc
+++ b/testing/platform_fleet_test/platform_fleet.cc
@@ -32,12 +32,7 @@
 PlatformFleet::PlatformFleet(PlatformFleetPlan plan_)
     : plan(std::move(plan_)),
       random(plan.seed),
-      relay(plan.relayed ? std::make_unique<FaultRelay>(random.next(),
-                                                        [this](std::string const& ip) {
-                                                          std::string const at = nodes.public_address(ip);
-                                                          return at.empty() ? ip : at;
-                                                        })
-                         : nullptr),
+      relay(plan.relayed ? std::make_unique<FaultRelay>(random.next(), Nodes::public_ip) : nullptr),
       nodes({plan.folder, plan.program, plan.net, relay.get()}, plan.shape, judge),
       workers(plan.shape, nodes, judge, plan.net, random.next()),
       callers(plan.shape, nodes, judge, plan.net, random.next(), plan.rate_scale),
@@ -91,6 +86,7 @@
   loop_delays.clear();
   callers.begin();
   operators.read_periodically();
+  operators.probe_periodically();
   std::size_t fault_count = 0;
   for (Fault const& fault : plan.faults)
     if (++fault_count <= max_faults) run_after(fault.at, [this, fault] { inject_fault(fault); });
@@ -116,6 +112,9 @@
   run_until(seconds(10), [this] { return nodes.all_ended(); });
   std::uint64_t served = 0;
   for (ClassTally const& item : callers.tally.classes) served += item.within_target + item.late;
+  std::uint64_t answered = 0;
+  for (ClassTally const& item : callers.tally.classes) answered += item.requests;
+  if (answered > 0) operators.check_added_routes(static_cast<double>(served) / static_cast<double>(answered));
   if (served == 0) judge.report_violation(Promise::unserved, "no request was served");
   nodes.check_logs();
   check_failures();
@@ -232,13 +231,13 @@
                                   fault.kind == Fault::Kind::delay || fault.kind == Fault::Kind::reset;
   for (std::unique_ptr<Node> const& node : nodes.all) {
     bool const halved = fault.kind == Fault::Kind::halves && node->core;
-    if (affects_every_node || halved || chosen.count(node->ip) > 0) nodes.mark_link_fault(*node, until);
+    if (affects_every_node || halved || chosen.count(node->ip) > 0)
+      nodes.mark_link_fault(*node, until, !affects_every_node && !halved);
   }
   LinkFault link_fault;
   link_fault.until = until;
-  std::function<bool(std::string const&)> const is_node = [this](std::string const& ip) {
-    return nodes.by_ip(ip) != nullptr;
-  };
+  // The relay's thread calls it, so it must not look at the nodes.
+  std::function<bool(std::string const&)> const is_node = Nodes::is_node_ip;
   switch (fault.kind) {
     case Fault::Kind::cut:
       link_fault.applies_to = [chosen, is_node, variant](std::string const& from, std::string const& to) {
@@ -420,6 +419,9 @@
     out.put("answers swallowed", static_cast<double>(relay->swallowed));
     out.put("connections reset", static_cast<double>(relay->resets));
   }
+  out.put("configuration checks of added routes", static_cast<double>(changes.added_checks));
+  out.put("configuration checks of added routes served", static_cast<double>(changes.added_served));
+  out.put("configuration slowest effect ms", static_cast<double>(changes.slowest_effect) / 1000);
   out.put("configuration acknowledged p50 ms", quantile(changes.acks, 0.5) / 1000);
   out.put("configuration acknowledged most ms", quantile(changes.acks, 1) / 1000);
 }
--- a/testing/platform_fleet_test/shapes.cc
+++ b/testing/platform_fleet_test/shapes.cc
@@ -106,8 +106,30 @@
   return out;
 }
 
+// A large site with fewer machines and less traffic: six zones of one machine with a disk and 15 without, and the large
+// site's bounds.
+Shape wide() {
+  Shape out = tiny();
+  out.name = "wide";
+  out.zones.clear();
+  for (char const* const zone : {"first", "second", "third", "fourth", "fifth", "sixth"})
+    out.zones.push_back({zone, 1, 15, 6, 1.0 / 6, 6, 0.1 * static_cast<double>(out.zones.size())});
+  out.classes[0].per_second = 10;
+  out.classes[1].per_second = 60;
+  out.extra_retries = 640;
+  out.bounds.in_touch = seconds(5);
+  out.bounds.acknowledge = seconds(6);
+  out.bounds.configuration = seconds(3);
+  out.bounds.drain = seconds(3);
+  out.bounds.pass_duration = millis(200);
+  out.bounds.tolerated_machines = 2;
+  out.bounds.core_processor_share = 0.32;
+  out.bounds.plain_processor_share = 0.12;
+  return out;
+}
+
 std::vector<Shape> const& shapes() {
-  static std::vector<Shape> const all = {small_coop(), small_utility(), tiny(), soak()};
+  static std::vector<Shape> const all = {small_coop(), small_utility(), tiny(), soak(), wide()};
   return all;
 }
 
--- a/testing/platform_fleet_test/shapes.h
+++ b/testing/platform_fleet_test/shapes.h
@@ -54,6 +54,19 @@
   double phase = 0;  // phase of its load wave, as a fraction of the period
 };
 
+// What a site promises its users, and what its nodes are told of it. The defaults are those of the small sites.
+struct SiteBounds {
+  Micros in_touch = seconds(3);          // without a fault, until a node is judged by the bounds of time again
+  Micros acknowledge = seconds(4);       // of a change, while all nodes are in touch
+  Micros configuration = seconds(2);     // from the acknowledgement of a change until it is in force
+  Micros downgrade_slack = millis(250);  // after a version's effect was seen, until no older one may be in force
+  Micros drain = seconds(2);             // from the acknowledgement of a worker's end to its last request
+  Micros pass_duration = millis(120);    // of an event of a stream, from the worker to the client
+  int tolerated_machines = 1;            // with a disk, that may be lost at once
+  double core_processor_share = 0.45;
+  double plain_processor_share = 0.45;
+};
+
 // A simulated site.
 struct Shape {
   std::string name;
@@ -69,6 +82,7 @@
   int clump = 3;                // mean number of requests that arrive together
   double retry_ratio = 0.2;     // bound of repeated arrivals, as a share of the attempts; see Judge::check_retries
   int extra_retries = 58;       // added to that bound
+  SiteBounds bounds;
 };
 
 // The shape of that name; nullptr if there is none.
--- a/testing/platform_fleet_test/worker_heartbeats.cc
+++ b/testing/platform_fleet_test/worker_heartbeats.cc
@@ -100,7 +100,7 @@
          if (!leaving || at->drain_acknowledged_at >= 0) return;
          at->drain_acknowledged_at = now();
          at->drain_acknowledged_by = address;
-         run_after(drain_duration + leave_delay, [this, at] { leave(*at, 0); });
+         run_after(shape_.bounds.drain + leave_delay, [this, at] { leave(*at, 0); });
        });
 }
 
@@ -137,7 +137,7 @@
          at->drain_acknowledged_at = now();
          at->drain_acknowledged_by = address;
          deliver_late_heartbeat(*at, late);
-         run_after(drain_duration + leave_delay, [this, at] { end(*at, false); });
+         run_after(shape_.bounds.drain + leave_delay, [this, at] { end(*at, false); });
        });
 }
 
--- a/testing/platform_fleet_test/worker_parts.h
+++ b/testing/platform_fleet_test/worker_parts.h
@@ -5,8 +5,6 @@
 namespace pipit::platform_fleet {
 
 constexpr unsigned worker_port = 9000;
-// Requests may arrive for this long after a drain was acknowledged.
-constexpr Micros drain_duration = seconds(2);
 // A draining worker that receives no acknowledgement exits after this time.
 constexpr Micros unacknowledged_drain_timeout = seconds(6);
 
--- a/testing/platform_fleet_test/worker_requests.cc
+++ b/testing/platform_fleet_test/worker_requests.cc
@@ -51,7 +51,7 @@
   Node const* const node = nodes_.by_ip(conn.peer);
   bool const in_touch = node != nullptr && nodes_.in_touch(*node, at);
   // The drain counts from its acknowledgement by any node, whether or not that node was in touch with the others.
-  if (worker.drain_acknowledged_at >= 0 && at > worker.drain_acknowledged_at + drain_duration && in_touch)
+  if (worker.drain_acknowledged_at >= 0 && at > worker.drain_acknowledged_at + shape_.bounds.drain && in_touch)
     judge_.report_violation(Promise::drained, id + " reached " + worker.id + " from " + node->name + " " +
                                                   std::to_string((at - worker.drain_acknowledged_at) / 1000) +
                                                   " ms after its drain was acknowledged by " +
--- a/tests/fault_relay.cc
+++ b/tests/fault_relay.cc
@@ -5,7 +5,7 @@
 #include <optional>
 #include <vector>
 
-#include "testing/platform_fleet_test/fault_proxy.h"
+#include "testing/platform_fleet_test/fault_relay.h"
 #include "tests/loopback.h"
 
 namespace pipit::platform_fleet {
@@ -132,6 +132,8 @@
   EXPECT_TRUE(until([this] { return received_by_server == "asked"; }));
   accepted.front()->close();
   settle();
+  relay.handle_received();
+  settle();
   EXPECT_EQ(received_by_client, "");
   EXPECT_FALSE(close_reason);
   EXPECT_EQ(relay.swallowed, 1u);
