--- a/src/base/events.h
+++ b/src/base/events.h
@@ -52,6 +52,7 @@
   EVENT(314, router_evicted, INFO, "a dead router was evicted from the register")                           \
   EVENT(315, disk_write_retried, WARNING, "the disk rejected a record; the write is retried")               \
   EVENT(316, operator_call_answered, INFO, "an operator's request was answered")                            \
+  EVENT(317, value_forwarded, INFO, "a chosen value was forwarded to the nodes of this zone")               \
   EVENT(400, worker_joined, INFO, "a worker accepts requests")                                              \
   EVENT(401, worker_leaving, INFO, "a worker is draining")                                                  \
   EVENT(402, worker_removed, INFO, "a worker was removed from the list")                                    \
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -128,7 +128,7 @@
     propose(id, std::move(change), now, out);
   };
   actions.adopt_value = [this](wire::ValueT const& value, Micros now, NodeEffects& out) {
-    if (learner.adopt(value, now)) apply_adopted_value(now, out);
+    if (learner.adopt(value, now)) apply_adopted_value(ValueSource::forwarded_change, plan.name, now, out);
   };
   return actions;
 }
@@ -241,7 +241,8 @@
       break;
     case wire::Body::ReadReply:
       note_peer_list_age(body.AsReadReply()->age, now);
-      if (learner.handle_reply(from, *body.AsReadReply(), now, outgoing)) apply_adopted_value(now, out);
+      if (learner.handle_reply(from, *body.AsReadReply(), now, outgoing))
+        apply_adopted_value(ValueSource::poll, from, now, out);
       proposer.adopt_membership(learner.membership());
       update_readiness(now, out);
       break;
@@ -331,7 +332,8 @@
                                  : update.patch->rest ? update.patch->rest->revision
                                                       : 0;
   bool const newer = update.value ? learner.adopt(*update.value, now) : learner.adopt(*update.patch, now);
-  if (newer) apply_adopted_value(now, out);
+  // The answer to a request for the newer value names no request of a proposer.
+  if (newer) apply_adopted_value(update.request_id == 0 ? ValueSource::catch_up : ValueSource::push, from, now, out);
   proposer.adopt_membership(learner.membership());
   if (update.hops > 0) forward_to_zone(update, out);
   if (learner.revision() < revision) {
@@ -346,7 +348,7 @@
 
 void Node::apply_early_patches(Micros now, std::vector<OutgoingMessage>& outgoing, NodeEffects& out) {
   while (std::optional<CatchUp::EarlyPatch> const early = catch_up_.take_applicable_patch(learner.revision())) {
-    if (learner.adopt(*early->update.patch, now)) apply_adopted_value(now, out);
+    if (learner.adopt(*early->update.patch, now)) apply_adopted_value(ValueSource::push, early->from, now, out);
     std::uint64_t const revision = early->update.patch->rest ? early->update.patch->rest->revision : 0;
     if (learner.revision() >= revision) acknowledge_value(early->from, early->update, outgoing);
   }
@@ -407,7 +409,12 @@
     if (item.second.connection != 0) out.mesh.outgoing_frames.push_back({item.second.connection, bytes});
 }
 
-void Node::apply_adopted_value(Micros now, NodeEffects& out) {
+char const* Node::value_source_name(ValueSource source) {
+  static char const* const names[] = {"proposal", "push", "catch_up", "poll", "forwarded_change"};
+  return names[static_cast<std::size_t>(source)];
+}
+
+void Node::apply_adopted_value(ValueSource source, std::string const& from, Micros now, NodeEffects& out) {
   wire::ValueT const& value = *learner.value;
   catch_up_.value_adopted();
   check_value(value);
@@ -427,7 +434,8 @@
     dispatcher.set_description(description);
     chat_dispatcher.set_description(description,
                                     std::set<std::string>(value.drained_zones.begin(), value.drained_zones.end()));
-    log_event(Event::configuration_in_force, "serial " + std::to_string(value.serial));
+    log_event(Event::configuration_in_force,
+              "serial " + std::to_string(value.serial) + " by " + value_source_name(source) + " from " + from);
   }
   mesh.members.self.serial = value.serial;
   mesh.members.self.revision = value.revision;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -163,8 +163,11 @@
   void handle_message(std::string const& from, wire::BodyUnion& body, Micros now, NodeEffects& out);
   // Sends all messages, also those that follow from them: to this node itself by a direct call, to others by the mesh.
   void send_messages(std::vector<OutgoingMessage>& outgoing, Micros now, NodeEffects& out);
-  // Brings a newer value, just adopted by the learner, into force.
-  void apply_adopted_value(Micros now, NodeEffects& out);
+  // How a newer value came to this node; the log names it.
+  enum class ValueSource : std::uint8_t { proposal, push, catch_up, poll, forwarded_change };
+  static char const* value_source_name(ValueSource source);
+  // Brings a newer value, just adopted by the learner, into force. 'from' is the peer that sent it.
+  void apply_adopted_value(ValueSource source, std::string const& from, Micros now, NodeEffects& out);
   // Sends a chosen value to all peers, as a patch of 'base' if one is given.
   void broadcast_value(wire::ValueT const& value, std::optional<wire::ValueT> const& base, std::uint64_t request_id,
                        NodeEffects& out);
--- a/src/node/node_changes.cc
+++ b/src/node/node_changes.cc
@@ -71,7 +71,7 @@
     log_event(Event::value_chosen,
               "serial " + std::to_string(outcome.value.serial) + " change " + outcome.value.change);
     bool const fresh = learner.adopt(outcome.value, now);
-    if (fresh) apply_adopted_value(now, out);
+    if (fresh) apply_adopted_value(ValueSource::proposal, plan.name, now, out);
     // Also if a poll brought the value here first: this may be the only node that sends it to the others.
     if (fresh || outcome.type == Outcome::Type::chosen || change.type >= Change::Type::empty)
       broadcast_value(outcome.value, fresh ? learner.previous_value : std::nullopt, request_id, out);
@@ -79,7 +79,8 @@
   } else {
     log_event(outcome.type == Outcome::Type::unknown ? Event::change_outcome_unknown : Event::change_rejected,
               change.id + " " + error_code_row(outcome.error.code).name);
-    if (outcome.value.serial > 0 && learner.adopt(outcome.value, now)) apply_adopted_value(now, out);
+    if (outcome.value.serial > 0 && learner.adopt(outcome.value, now))
+      apply_adopted_value(ValueSource::proposal, plan.name, now, out);
   }
   if (id == 0) {
     if (change.type == Change::Type::register_router)
--- a/src/node/node_registered_workers.cc
+++ b/src/node/node_registered_workers.cc
@@ -93,13 +93,21 @@
   if (update.value) copy.value = std::make_unique<wire::ValueT>(*update.value);
   if (update.patch) copy.patch = std::make_unique<wire::ValuePatchT>(*update.patch);
   std::string const bytes = encode_message(std::move(copy));
+  std::size_t receivers = 0;
   for (std::pair<std::string const, Peer> const& item : mesh.members.peers) {
     Peer const& peer = item.second;
     if (peer.connection == 0 || peer.member.replica || item.first == update.origin) continue;
     if (peer.member.zone == plan.zone &&
-        rendezvous(item.first, std::set<std::string>(forwarders.begin(), forwarders.end())) == plan.name)
+        rendezvous(item.first, std::set<std::string>(forwarders.begin(), forwarders.end())) == plan.name) {
       out.mesh.outgoing_frames.push_back({peer.connection, bytes});
+      ++receivers;
+    }
   }
+  std::uint64_t const serial = update.value         ? update.value->serial
+                               : update.patch->rest ? update.patch->rest->serial
+                                                    : 0;
+  log_event(Event::value_forwarded, "serial " + std::to_string(serial) + " of " + update.origin + " to " +
+                                        std::to_string(receivers) + " nodes");
 }
 
 Micros Node::poll_interval() const {
