Each node confirms its configuration within the bound, and acts on no older one

Cause: nothing bounded the age of a node's configuration.

A node whose confirmation is over the bound answers 404 (DispatcherTest.an_unconfirmed_configuration_refuses_no_path_for_good, failed before). The users' case itself was not reproduced.

The change: every node renews the confirmation from a third of the time on, by asking one replica at a time, with or without keys. An unconfirmed node says 503 for what it does not know. One that knows of a newer revision and is unconfirmed for longer than the bound handles no request. A confirmation is as of its asking, so it holds every change that was acknowledged before, however that came. A replica that is suspected no longer counts as one that forwards to its zone.

ConfigurationAuthorityTest.no_peer_is_queried_when_keys_are_not_required said the opposite for the new lease: it is now two tests, for quota without keys (as before) and for the new lease.

--- a/src/mesh/membership/member_table.h
+++ b/src/mesh/membership/member_table.h
@@ -63,6 +63,8 @@
   void set_state(Peer& peer, MemberState state, Micros now);
   // Updates a peer's record with the status that it sent with a ping or pong; ignored for an unknown name.
   void update_status(std::string const& name, std::uint64_t revision, std::uint64_t serial, bool ready);
+  // Records that a peer holds this revision or a newer one; ignored for an unknown name.
+  void note_revision(std::string const& name, std::uint64_t revision);
   // This node's own record, and those of the peers whose incarnation, state or address changed after the version
   // 'since' of this table; 0 returns all records.
   std::vector<std::unique_ptr<wire::MemberT>> records_since(std::uint64_t since = 0) const;
--- a/src/node/configuration_authority.cc
+++ b/src/node/configuration_authority.cc
@@ -19,12 +19,24 @@
       rotation_(rotation),
       next_request_id_(std::move(next_request_id)),
       key_lease_(durations.revocation, durations.in_force),
-      quota_lease_(durations.quota) {}
+      quota_lease_(durations.quota),
+      in_force_lease_(durations.in_force) {}
 
-// The same confirmation extends both leases; they differ in duration only.
+// The same confirmation extends all leases; they differ in duration only.
 void ConfigurationAuthority::confirm_leases(Micros at) {
   key_lease_.confirm(at);
   quota_lease_.confirm(at);
+  in_force_lease_.confirm(at);
+}
+
+bool ConfigurationAuthority::renewal_due(bool keys_required, Micros now) const {
+  bool const in_force_due = in_force_lease_.required() && in_force_lease_.renewal_due(now);
+  return in_force_due || (keys_required && quota_lease_.renewal_due(now));
+}
+
+bool ConfigurationAuthority::renewal_urgent(Micros now) const {
+  bool const in_force_urgent = in_force_lease_.required() && in_force_lease_.renewal_urgent(now);
+  return in_force_urgent || quota_lease_.renewal_urgent(now);
 }
 
 void ConfigurationAuthority::update_confirmations() {
@@ -39,7 +51,7 @@
 // from the half on, another peer as well, since a network partition may separate this node from the replicas alone.
 void ConfigurationAuthority::renew_leases(bool keys_required, Micros now, std::vector<OutgoingMessage>& outgoing) {
   update_confirmations();
-  if (!keys_required || !quota_lease_.renewal_due(now) || now < next_request_at_) return;
+  if (!renewal_due(keys_required, now) || now < next_request_at_) return;
   next_request_at_ = now + request_interval;
   std::erase_if(open_requests_, [now](std::pair<std::uint64_t const, Micros> const& item) {
     return now - item.second > request_timeout;
@@ -62,8 +74,7 @@
   std::vector<std::string> targets;
   rotation_.advance();
   if (!replicas.empty()) targets.push_back(rotation_.current(replicas));
-  if (!others.empty() && (replicas.empty() || quota_lease_.renewal_urgent(now)))
-    targets.push_back(rotation_.current(others));
+  if (!others.empty() && (replicas.empty() || renewal_urgent(now))) targets.push_back(rotation_.current(others));
   return targets;
 }
 
--- a/src/node/configuration_authority.h
+++ b/src/node/configuration_authority.h
@@ -1,7 +1,7 @@
-// Confirms that the configuration held by this node is the newest one, which is required to accept API keys and to
-// allocate quota (docs/tenants.md).
+// Confirms that the configuration held by this node is the newest one, which is required to accept API keys, to
+// allocate quota (docs/tenants.md), and to refuse a path for good (docs/control.md).
 //
-// Owns the two leases on the configuration, the requests to peers that are in flight, and the peers' confirmations of
+// Owns the leases on the configuration, the requests to peers that are in flight, and the peers' confirmations of
 // revisions that this node does not hold yet. A lease is only ever confirmed as of a time at which no value newer than
 // the one held here had been chosen; all times are on this node's monotonic clock.
 //
@@ -25,7 +25,7 @@
 // How long a confirmation of the configuration stays valid, in microseconds, for each of its uses.
 struct ConfigurationLeaseDurations {
   Micros revocation = 0;  // for accepting keys; 0: keys need no lease
-  Micros in_force = 0;    // for permanently refusing a name that the configuration does not contain
+  Micros in_force = 0;    // for permanently refusing a name that the configuration does not contain; 0: no limit
   Micros quota = 0;       // for granting quota
 };
 
@@ -43,7 +43,10 @@
 
   // Extends the leases by what the learner's polls and the peers' replies have confirmed so far.
   void update_confirmations();
-  // Appends requests to peers when the leases need renewal. Sends none unless 'keys_required'.
+  // Records whether a peer has announced a newer revision than the one held here.
+  void set_superseded(bool superseded) { key_lease_.set_superseded(superseded); }
+  // Appends requests to peers when the leases need renewal; the one for allocating quota counts only with
+  // 'keys_required'.
   void renew_leases(bool keys_required, Micros now, std::vector<OutgoingMessage>& outgoing);
   // Builds the reply to a peer's request: the revision held here, and how many microseconds ago it was confirmed as the
   // newest.
@@ -56,8 +59,10 @@
  private:
   // The peers to query now: one replica, and one other peer when renewal is urgent or no replica is reachable.
   std::vector<std::string> select_peers_to_query(Micros now);
-  // Confirms both leases as of the time 'at'.
+  // Confirms all leases as of the time 'at'.
   void confirm_leases(Micros at);
+  bool renewal_due(bool keys_required, Micros now) const;
+  bool renewal_urgent(Micros now) const;
 
   Mesh const& mesh_;
   Learner const& learner_;
@@ -65,6 +70,7 @@
   std::function<std::uint64_t()> const next_request_id_;
   ConfigurationLease key_lease_;
   ConfigurationLease quota_lease_;
+  ConfigurationLease in_force_lease_;
   std::map<std::uint64_t, Micros> open_requests_;  // send times of the requests in flight, by request id
   // By revision not held here yet: a time at which no higher revision had been chosen.
   std::map<std::uint64_t, Micros> confirmed_revisions_;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -290,6 +290,7 @@
           message_to(from, configuration_authority_.answer_request(body.AsNewestRequest()->request_id, now)));
       break;
     case wire::Body::NewestReply:
+      mesh.members.note_revision(from, body.AsNewestReply()->revision);
       configuration_authority_.handle_reply(from, *body.AsNewestReply(), now, outgoing);
       break;
     case wire::Body::QuotaRequest:
@@ -388,18 +389,18 @@
   if (!guard_enabled(Guard::spread)) return;
   if (plan.workers_self_register && mesh.is_large_fleet()) {
     // §12.7: the value is sent to the replicas, which forward it within their zones, and to every node of a zone
-    // without a connected replica.
+    // without a connected replica that answers.
     update.origin = plan.name;
     update.hops = 1;
     std::string const bytes = encode_message(wire::ChosenT(update));
     std::set<std::string> covered_zones{plan.is_replica ? plan.zone : std::string()};
     for (std::pair<std::string const, Peer> const& item : mesh.members.peers) {
       if (item.second.connection == 0 || !item.second.member.replica) continue;
-      covered_zones.insert(item.second.member.zone);
+      if (item.second.state() == MemberState::alive) covered_zones.insert(item.second.member.zone);
       out.mesh.outgoing_frames.push_back({item.second.connection, bytes});
     }
     for (std::pair<std::string const, Peer> const& item : mesh.members.peers)
-      if (item.second.connection != 0 && !covered_zones.count(item.second.member.zone))
+      if (item.second.connection != 0 && !item.second.member.replica && !covered_zones.count(item.second.member.zone))
         out.mesh.outgoing_frames.push_back({item.second.connection, bytes});
     if (plan.is_replica) forward_to_zone(update, out);
     return;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -121,9 +121,11 @@
   // leaves. Routed requests are not refused here: the process keeps them out (NodeServer closes its listeners first).
   void drain(Micros now, NodeEffects& out);
   bool is_ready() const { return ready_; }
-  // Ready, and holding the configuration lease if the description requires API keys.
+  // Ready, not behind the newest configuration for too long, and holding the configuration lease if the description
+  // requires API keys.
   bool accepts_requests(Micros now) const {
-    return ready_ && (!dispatcher.description()->keys_required || key_lease().valid(now));
+    if (!ready_ || !key_lease().may_handle_requests(now)) return false;
+    return !dispatcher.description()->keys_required || key_lease().valid(now);
   }
   bool is_draining() const { return draining_; }
   // The lease on the configuration; API keys are accepted only while it is held.
--- a/src/node/node_registration.cc
+++ b/src/node/node_registration.cc
@@ -31,6 +31,7 @@
       mesh.members.peers.begin(), mesh.members.peers.end(), [this](std::pair<std::string const, Peer> const& item) {
         return item.second.connection != 0 && item.second.member.revision > learner.revision();
       });
+  configuration_authority_.set_superseded(behind);
   if (!guard_enabled(Guard::spread)) return;
   if (!behind) behind_since_ = -1;
   if (behind && behind_since_ < 0) behind_since_ = now;
--- a/src/routing/dispatch/dispatcher.cc
+++ b/src/routing/dispatch/dispatcher.cc
@@ -121,10 +121,11 @@
 void Dispatcher::admit(Request& request, Micros now, DispatchEffects& out) {
   request.rules = rules_;
   if (rules_->routes.empty()) return reject(request, ErrorCode::not_ready, millis(300), now, out);
+  if (!lease_->may_handle_requests(now)) return reject(request, ErrorCode::unconfirmed, millis(300), now, out);
   request.route = rules_->find_route(request.info.host, request.info.path);
   if (request.route == nullptr) {
-    // Where keys are required, an outdated configuration must not give a final "not found".
-    bool const certain = !rules_->keys_required || lease_->unknown_is_certain(now);
+    // An outdated configuration must not give a final "not found".
+    bool const certain = lease_->unknown_is_certain(now);
     return certain ? reject(request, ErrorCode::not_found, 0, now, out)
                    : reject(request, ErrorCode::unconfirmed, millis(300), now, out);
   }
--- a/src/routing/tenants/configuration_lease.h
+++ b/src/routing/tenants/configuration_lease.h
@@ -28,8 +28,14 @@
   bool valid(Micros now) const { return !required() || (confirmed_at_ >= 0 && now - confirmed_at_ <= duration); }
   // Whether a key or a path unknown to the local configuration is certainly missing from the newest one as well.
   bool unknown_is_certain(Micros now) const {
-    return !required() || (confirmed_at_ >= 0 && now - confirmed_at_ <= certain_duration);
+    if (certain_duration <= 0 || !guard_enabled(Guard::lease)) return true;
+    return confirmed_at_ >= 0 && now - confirmed_at_ <= certain_duration;
   }
+  // Records whether a newer configuration than the local one is known to have been chosen.
+  void set_superseded(bool superseded) { superseded_ = superseded; }
+  // Whether requests may be handled by the local configuration. A node that knows of no newer one serves on without a
+  // confirmation, since it may be cut off from all replicas.
+  bool may_handle_requests(Micros now) const { return !superseded_ || unknown_is_certain(now); }
   // Time of the latest confirmation; -1 if there was none.
   Micros confirmed_at() const { return confirmed_at_; }
   // Whether to renew the lease: a third of its duration has passed.
@@ -42,6 +48,7 @@
 
  private:
   Micros confirmed_at_ = -1;
+  bool superseded_ = false;
 };
 
 }  // namespace pipit
--- a/tests/dispatcher.cc
+++ b/tests/dispatcher.cc
@@ -61,6 +61,37 @@
   EXPECT_TRUE(free_of_work());
 }
 
+TEST_F(DispatcherTest, an_unconfirmed_configuration_refuses_no_path_for_good) {
+  worker("w");
+  ConfigurationLease lease(0, seconds(2));
+  dispatcher.set_lease(lease);
+  lease.confirm(now - seconds(2));
+  place(1, "nowhere");
+  ASSERT_EQ(out.rejections.size(), 1u);
+  EXPECT_EQ(out.rejections[0].error, ErrorCode::not_found);
+  lease.confirm(now);
+  now += seconds(2) + 1;
+  place(2, "nowhere");
+  ASSERT_EQ(out.rejections.size(), 1u);
+  EXPECT_EQ(out.rejections[0].error, ErrorCode::unconfirmed);
+  EXPECT_GT(out.rejections[0].retry_after, 0);
+}
+
+TEST_F(DispatcherTest, a_superseded_configuration_handles_no_request_once_its_confirmation_is_too_old) {
+  worker("w");
+  ConfigurationLease lease(0, seconds(2));
+  dispatcher.set_lease(lease);
+  lease.confirm(now);
+  lease.set_superseded(true);
+  EXPECT_EQ(place(1, "once"), "w") << "the newer one may have been chosen just now";
+  now += seconds(2) + 1;
+  EXPECT_EQ(place(2, "once"), "");
+  ASSERT_EQ(out.rejections.size(), 1u);
+  EXPECT_EQ(out.rejections[0].error, ErrorCode::unconfirmed);
+  lease.set_superseded(false);
+  EXPECT_EQ(place(3, "once"), "w") << "a node that knows of no newer configuration serves on";
+}
+
 TEST_F(DispatcherTest, without_a_description_requests_are_rejected_with_a_time_to_retry) {
   dispatcher.set_description(std::make_shared<Description>());
   place(1, "once");
--- a/tests/node/configuration_authority.cc
+++ b/tests/node/configuration_authority.cc
@@ -7,13 +7,15 @@
 
 namespace {
 constexpr Micros quota_lease_duration = seconds(3);
+constexpr Micros in_force_lease_duration = millis(2700);
 
 class ConfigurationAuthorityTest : public testing::Test {
  protected:
   ConfigurationAuthorityTest()
+      : ConfigurationAuthorityTest(ConfigurationLeaseDurations{quota_lease_duration, 0, quota_lease_duration}) {}
+  explicit ConfigurationAuthorityTest(ConfigurationLeaseDurations const& durations)
       : mesh(MeshSettings{}, wire::MemberT(), 1),
-        authority({quota_lease_duration, millis(500), quota_lease_duration}, mesh, learner, rotation,
-                  [this] { return ++last_request; }) {}
+        authority(durations, mesh, learner, rotation, [this] { return ++last_request; }) {}
 
   void connect(std::string const& name, bool replica) {
     Peer& peer = mesh.members.peers[name];
@@ -27,9 +29,9 @@
     ASSERT_TRUE(learner.adopt(value, 0));
   }
   // The peers that the node queries at 'now'.
-  std::vector<std::string> renew(Micros now) {
+  std::vector<std::string> renew(Micros now, bool keys_required = true) {
     std::vector<OutgoingMessage> outgoing;
-    authority.renew_leases(true, now, outgoing);
+    authority.renew_leases(keys_required, now, outgoing);
     std::vector<std::string> names;
     for (OutgoingMessage const& message : outgoing) {
       EXPECT_EQ(message.body.type, wire::Body::NewestRequest);
@@ -55,6 +57,12 @@
   std::uint64_t last_request = 0;
   ConfigurationAuthority authority;
 };
+// With a lease for refusing paths that is shorter than the one for quota.
+class InForceLeaseTest : public ConfigurationAuthorityTest {
+ protected:
+  InForceLeaseTest()
+      : ConfigurationAuthorityTest(ConfigurationLeaseDurations{0, in_force_lease_duration, quota_lease_duration}) {}
+};
 }  // namespace
 
 TEST_F(ConfigurationAuthorityTest, replica_poll_confirms_both_leases) {
@@ -78,11 +86,19 @@
   EXPECT_EQ(renew(millis(1501)), std::vector<std::string>({"n2", "n3"}));
 }
 
-TEST_F(ConfigurationAuthorityTest, no_peer_is_queried_when_keys_are_not_required) {
+TEST_F(ConfigurationAuthorityTest, no_peer_is_queried_for_quota_when_keys_are_not_required) {
   connect("n2", true);
-  std::vector<OutgoingMessage> outgoing;
-  authority.renew_leases(false, seconds(1), outgoing);
-  EXPECT_TRUE(outgoing.empty());
+  EXPECT_TRUE(renew(seconds(1), false).empty());
+}
+
+// Without keys too, the lease for refusing paths must not end while a replica can be reached.
+TEST_F(InForceLeaseTest, replicas_are_queried_without_keys_as_well) {
+  connect("n2", true);
+  connect("n3", false);
+  learner.confirmed_at = 0;
+  EXPECT_TRUE(renew(millis(900), false).empty()) << "still in the first third of the lease";
+  EXPECT_EQ(renew(millis(901), false), std::vector<std::string>({"n2"}));
+  EXPECT_EQ(renew(millis(1351), false), std::vector<std::string>({"n2", "n3"}));
 }
 
 TEST_F(ConfigurationAuthorityTest, requests_go_to_the_replicas_in_turn) {
