A node that connects is told what it has to refute, not gossip by every peer

What was seen: of 90 nodes 18 restart at once, and each is sent the member table 6 to 13 times over (5 are allowed), by single records: every peer answers its Hello with twelve records of its gossip, whatever the others had sent.

Now a peer of a large fleet answers with the node's own record as it knows it, and only if that is wrong. What the node lacks comes with the whole tables of its seeds, with pings, and by digests.

--- a/src/mesh/membership/gossip.cc
+++ b/src/mesh/membership/gossip.cc
@@ -69,10 +69,17 @@
 void MembershipGossip::answer_hello(ConnectionId id, wire::HelloT const& hello, ConnectionEffects& out) {
   if (is_large_fleet() && hello.digest == members_.digest()) return;
   std::string const& name = hello.self->name;
+  wire::MemberT const& known = members_.peers.at(name).member;
   bool const all = !is_large_fleet() || hello.members < members_.peers.size() / 2;
+  // A node that has just started is connected to by all others, so none of them tells it more than it has to refute.
+  bool const refutable = known.state != hello.self->state || known.bump != hello.self->bump ||
+                         known.incarnation != hello.self->incarnation;
+  if (!all && !refutable) return;
   wire::MembershipUpdateT update;
-  update.table = all ? records_for(id, true) : next_piggybacked_records();
-  if (!all) update.table.push_back(std::make_unique<wire::MemberT>(members_.peers.at(name).member));
+  if (all)
+    update.table = records_for(id, true);
+  else
+    update.table.push_back(std::make_unique<wire::MemberT>(known));
   connections_.send(name, std::move(update), out);
 }
 
