--- a/testing/platform_fleet_test/shapes.cc
+++ b/testing/platform_fleet_test/shapes.cc
@@ -106,16 +106,17 @@
   return out;
 }
 
-// A large site with fewer machines and less traffic: six zones of one machine with a disk and 15 without, and the large
-// site's bounds.
-Shape wide() {
+// A large site with fewer machines and less traffic: six zones of one machine with a disk and some without, and the
+// large site's bounds.
+Shape large_site(std::string name, int plain_nodes_per_zone, int workers_per_zone, double request_rate) {
   Shape out = tiny();
-  out.name = "wide";
+  out.name = std::move(name);
   out.zones.clear();
   for (char const* const zone : {"first", "second", "third", "fourth", "fifth", "sixth"})
-    out.zones.push_back({zone, 1, 15, 6, 1.0 / 6, 6, 0.1 * static_cast<double>(out.zones.size())});
-  out.classes[0].per_second = 10;
-  out.classes[1].per_second = 60;
+    out.zones.push_back(
+        {zone, 1, plain_nodes_per_zone, workers_per_zone, 1.0 / 6, 6, 0.1 * static_cast<double>(out.zones.size())});
+  out.classes[0].per_second = request_rate / 7;
+  out.classes[1].per_second = request_rate * 6 / 7;
   out.extra_retries = 640;
   out.bounds.in_touch = seconds(5);
   out.bounds.acknowledge = seconds(6);
@@ -128,8 +129,13 @@
   return out;
 }
 
+Shape wide() { return large_site("wide", 15, 6, 70); }
+
+// Just large enough that the nodes use the mesh's mode for large fleets.
+Shape broad() { return large_site("broad", 4, 2, 21); }
+
 std::vector<Shape> const& shapes() {
-  static std::vector<Shape> const all = {small_coop(), small_utility(), tiny(), soak(), wide()};
+  static std::vector<Shape> const all = {small_coop(), small_utility(), tiny(), soak(), wide(), broad()};
   return all;
 }
 
