--- a/testing/platform_fleet_test/operators.cc
+++ b/testing/platform_fleet_test/operators.cc
@@ -17,7 +17,6 @@
 constexpr Micros call_timeout = seconds(12);
 constexpr Micros read_interval = millis(250);
 constexpr Micros probe_interval = millis(50);
-constexpr std::size_t max_idle_routes = 4;
 constexpr std::size_t max_recent_routes = 6;
 constexpr std::ptrdiff_t max_open_probes = 1000;
 constexpr int unknown_route = 1000000;  // added to the number of a route, gives one that was never added
@@ -205,7 +204,7 @@
   std::vector<int> numbers;
   for (std::pair<std::string const, std::string> const& route : from.routes)
     if (is_idle_name(route.first)) numbers.push_back(number_of_idle(route.first));
-  if (numbers.size() < max_idle_routes) return "";
+  if (numbers.size() < shape.max_idle_routes) return "";
   return idle_name(*std::min_element(numbers.begin(), numbers.end()));
 }
 
--- a/testing/platform_fleet_test/shapes.cc
+++ b/testing/platform_fleet_test/shapes.cc
@@ -118,6 +118,7 @@
   out.classes[0].per_second = request_rate / 7;
   out.classes[1].per_second = request_rate * 6 / 7;
   out.extra_retries = 640;
+  out.max_idle_routes = 40;
   out.bounds.in_touch = seconds(5);
   out.bounds.acknowledge = seconds(6);
   out.bounds.configuration = seconds(3);
--- a/testing/platform_fleet_test/shapes.h
+++ b/testing/platform_fleet_test/shapes.h
@@ -77,11 +77,12 @@
   Micros report_lag = millis(200);  // age of the load reports that workers serve
   std::int64_t connection_limit = 300;
   std::vector<RequestClass> classes;
-  double swing = 0.15;          // amplitude of the load wave, relative to the mean rate
-  Micros period = seconds(11);  // of the load wave
-  int clump = 3;                // mean number of requests that arrive together
-  double retry_ratio = 0.2;     // bound of repeated arrivals, as a share of the attempts; see Judge::check_retries
-  int extra_retries = 58;       // added to that bound
+  double swing = 0.15;              // amplitude of the load wave, relative to the mean rate
+  Micros period = seconds(11);      // of the load wave
+  int clump = 3;                    // mean number of requests that arrive together
+  double retry_ratio = 0.2;         // bound of repeated arrivals, as a share of the attempts; see Judge::check_retries
+  int extra_retries = 58;           // added to that bound
+  std::size_t max_idle_routes = 4;  // routes without client traffic; a change beyond them removes the oldest
   SiteBounds bounds;
 };
 
