A newer value that a reply tells of is requested by CatchUp alone

ConfigurationAuthority requested the whole value itself, from each replica whose reply told of a newer revision, as often as each 0.3 s while a renewal was urgent: a way past CatchUp, which keeps one request open at a time because a value may be half a megabyte. It had been limited to sites with keys; with the renewal at all sites it was there everywhere. The reply now only tells the member table the peer's revision, and CatchUp does the rest, 0.3 s later.

Also from reading the change again: whether a greeting has to be refuted is asked of the member table, which knows the order of records; event 302 names the peer that answered a forwarded change, not this node.

--- a/src/mesh/membership/gossip.cc
+++ b/src/mesh/membership/gossip.cc
@@ -69,17 +69,14 @@
 void MembershipGossip::answer_hello(ConnectionId id, wire::HelloT const& hello, ConnectionEffects& out) {
   if (is_large_fleet() && hello.digest == members_.digest()) return;
   std::string const& name = hello.self->name;
-  wire::MemberT const& known = members_.peers.at(name).member;
   bool const all = !is_large_fleet() || hello.members < members_.peers.size() / 2;
   // A node that has just started is connected to by all others, so none of them tells it more than it has to refute.
-  bool const refutable = known.state != hello.self->state || known.bump != hello.self->bump ||
-                         known.incarnation != hello.self->incarnation;
-  if (!all && !refutable) return;
+  if (!all && !members_.holds_newer(*hello.self)) return;
   wire::MembershipUpdateT update;
   if (all)
     update.table = records_for(id, true);
   else
-    update.table.push_back(std::make_unique<wire::MemberT>(known));
+    update.table.push_back(std::make_unique<wire::MemberT>(members_.peers.at(name).member));
   connections_.send(name, std::move(update), out);
 }
 
--- a/src/mesh/membership/member_table.cc
+++ b/src/mesh/membership/member_table.cc
@@ -173,6 +173,11 @@
   record.ready = ready;
 }
 
+bool MemberTable::holds_newer(wire::MemberT const& record) const {
+  std::map<std::string, Peer>::const_iterator const position = peers.find(record.name);
+  return position != peers.end() && precedence(position->second.member) > precedence(record);
+}
+
 void MemberTable::note_revision(std::string const& name, std::uint64_t revision) {
   std::map<std::string, Peer>::iterator const position = peers.find(name);
   if (position != peers.end()) position->second.member.revision = std::max(position->second.member.revision, revision);
--- a/src/mesh/membership/member_table.h
+++ b/src/mesh/membership/member_table.h
@@ -63,6 +63,8 @@
   void set_state(Peer& peer, MemberState state, Micros now);
   // Updates a peer's record with the status that it sent with a ping or pong; ignored for an unknown name.
   void update_status(std::string const& name, std::uint64_t revision, std::uint64_t serial, bool ready);
+  // Whether the record of that member here takes precedence over this one, which the member can then refute.
+  bool holds_newer(wire::MemberT const& record) const;
   // Records that a peer holds this revision or a newer one; ignored for an unknown name.
   void note_revision(std::string const& name, std::uint64_t revision);
   // This node's own record, and those of the peers whose incarnation, state or address changed after the version
--- a/src/node/change_forwarder.cc
+++ b/src/node/change_forwarder.cc
@@ -132,7 +132,7 @@
   answer.outcome.error.what = reply.why;
   answer.outcome.serial = reply.serial;
   // The value was chosen by a majority, so this node adopts it.
-  if (reply.value) actions_.adopt_value(*reply.value, now, out);
+  if (reply.value) actions_.adopt_value(item.proposer, *reply.value, now, out);
   // A reply with a revision but no value means that this node holds that value, or by now a newer chosen one.
   if (reply.value)
     answer.outcome.value = *reply.value;
--- a/src/node/change_forwarder.h
+++ b/src/node/change_forwarder.h
@@ -34,8 +34,8 @@
     std::function<std::uint64_t()> next_request_id;
     // Proposes a change at this node; its outcome is added to NodeEffects::replies under 'id'.
     std::function<void(std::uint64_t id, Change change, Micros now, NodeEffects& out)> propose;
-    // Adopts a value that is known to be chosen.
-    std::function<void(wire::ValueT const& value, Micros now, NodeEffects& out)> adopt_value;
+    // Adopts a value that is known to be chosen and that the peer 'from' sent.
+    std::function<void(std::string const& from, wire::ValueT const& value, Micros now, NodeEffects& out)> adopt_value;
   };
 
   ChangeForwarder(NodePlan const& plan, Mesh& mesh, Learner const& learner, ReplicaDirectory const& directory,
--- a/src/node/configuration_authority.cc
+++ b/src/node/configuration_authority.cc
@@ -88,8 +88,7 @@
 
 // The peer's configuration was confirmed 'age' before its reply, and the reply was sent after this node's request.
 // Counting 'age' back from the time of the request therefore never yields a time later than the true one.
-void ConfigurationAuthority::handle_reply(std::string const& from, wire::NewestReplyT const& reply, Micros now,
-                                          std::vector<OutgoingMessage>& outgoing) {
+void ConfigurationAuthority::handle_reply(wire::NewestReplyT const& reply) {
   std::map<std::uint64_t, Micros>::iterator const request = open_requests_.find(reply.request_id);
   if (request == open_requests_.end()) return;
   Micros const sent_at = request->second;
@@ -99,11 +98,6 @@
   confirmed_at = std::max(confirmed_at, sent_at - reply.age);
   update_confirmations();
   if (confirmed_revisions_.size() > max_confirmed_revisions) confirmed_revisions_.erase(confirmed_revisions_.begin());
-  if (confirmed_revisions_.empty() || !quota_lease_.renewal_urgent(now)) return;
-  // The newer value has not arrived by the normal spread of changes.
-  wire::CatchUpRequestT catch_up;
-  catch_up.revision = learner_.revision();
-  outgoing.push_back(message_to(from, std::move(catch_up)));
 }
 
 }  // namespace pipit
--- a/src/node/configuration_authority.h
+++ b/src/node/configuration_authority.h
@@ -51,10 +51,9 @@
   // Builds the reply to a peer's request: the revision held here, and how many microseconds ago it was confirmed as the
   // newest.
   wire::NewestReplyT answer_request(std::uint64_t request_id, Micros now) const;
-  // Handles a peer's reply; may append a request for the newer value that the peer holds. A reply to an unknown
-  // request, or one without an age, confirms nothing.
-  void handle_reply(std::string const& from, wire::NewestReplyT const& reply, Micros now,
-                    std::vector<OutgoingMessage>& outgoing);
+  // Handles a peer's reply. A reply to an unknown request, or one without an age, confirms nothing. A newer value that
+  // the peer holds is requested by CatchUp.
+  void handle_reply(wire::NewestReplyT const& reply);
 
  private:
   // The peers to query now: one replica, and one other peer when renewal is urgent or no replica is reachable.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -127,8 +127,8 @@
   actions.propose = [this](std::uint64_t id, Change change, Micros now, NodeEffects& out) {
     propose(id, std::move(change), now, out);
   };
-  actions.adopt_value = [this](wire::ValueT const& value, Micros now, NodeEffects& out) {
-    if (learner.adopt(value, now)) apply_adopted_value(ValueSource::forwarded_change, plan.name, now, out);
+  actions.adopt_value = [this](std::string const& from, wire::ValueT const& value, Micros now, NodeEffects& out) {
+    if (learner.adopt(value, now)) apply_adopted_value(ValueSource::forwarded_change, from, now, out);
   };
   return actions;
 }
@@ -291,7 +291,7 @@
       break;
     case wire::Body::NewestReply:
       mesh.members.note_revision(from, body.AsNewestReply()->revision);
-      configuration_authority_.handle_reply(from, *body.AsNewestReply(), now, outgoing);
+      configuration_authority_.handle_reply(*body.AsNewestReply());
       break;
     case wire::Body::QuotaRequest:
       quota_authority_.handle_request(from, *body.AsQuotaRequest(), now, outgoing);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -168,7 +168,7 @@
   // How a newer value came to this node; the log names it.
   enum class ValueSource : std::uint8_t { proposal, push, catch_up, poll, forwarded_change };
   static char const* value_source_name(ValueSource source);
-  // Brings a newer value, just adopted by the learner, into force. 'from' is the peer that sent it.
+  // Brings a newer value, just adopted by the learner, into force. 'from' is the peer that sent it, or this node.
   void apply_adopted_value(ValueSource source, std::string const& from, Micros now, NodeEffects& out);
   // Sends a chosen value to all peers, as a patch of 'base' if one is given.
   void broadcast_value(wire::ValueT const& value, std::optional<wire::ValueT> const& base, std::uint64_t request_id,
