Fleet test: one judgement of late probes; third octets are compared in place

In a net of 121 the private addresses of nodes were not recognized (the first ".121." was the second octet). handle_received() of the relay could return early when a signal interrupted the wait. What was written twice, for added and for removed routes, stands once.

--- a/testing/platform_fleet_test/fault_relay.cc
+++ b/testing/platform_fleet_test/fault_relay.cc
@@ -178,7 +178,7 @@
     for (int n = 0; n < count; ++n)
       handle_event(events[static_cast<std::size_t>(n)].data.u64, events[static_cast<std::size_t>(n)].events);
     if (Micros const at = now(); at >= next_look_at_waiting_) handle_waiting(at);
-    if (waited_for && count <= 0) {
+    if (waited_for && count == 0) {
       completed_passes_ = pass;
       handled_.notify_all();
     }
--- a/testing/platform_fleet_test/nodes.cc
+++ b/testing/platform_fleet_test/nodes.cc
@@ -37,8 +37,16 @@
 constexpr char public_part[] = ".1.";
 constexpr char private_part[] = ".121.";
 
-// Position of the dot after the second octet.
-std::size_t second_octet_end(std::string const& ip) { return ip.find('.', ip.find('.') + 1); }
+// Position of the dot after the second octet; npos if there is none.
+std::size_t second_octet_end(std::string const& ip) {
+  std::size_t const first = ip.find('.');
+  return first == std::string::npos ? first : ip.find('.', first + 1);
+}
+
+bool has_third_octet(std::string const& ip, char const* part) {
+  std::size_t const at = second_octet_end(ip);
+  return at != std::string::npos && ip.compare(at, std::strlen(part), part) == 0;
+}
 
 std::string at_port(std::string const& ip, unsigned port) { return ip + ":" + std::to_string(port); }
 }  // namespace
@@ -69,16 +77,14 @@
   return *all.back();
 }
 
-std::string Nodes::public_address(std::string const& address) const { return public_ip(address); }
-
-bool Nodes::is_node_ip(std::string const& ip) { return ip.find(public_part) == second_octet_end(ip); }
-
-std::string Nodes::public_ip(std::string const& ip) {
-  std::size_t const at = ip.find(private_part);
-  if (at == std::string::npos || at != second_octet_end(ip)) return ip;
-  return ip.substr(0, at) + public_part + ip.substr(at + std::strlen(private_part));
+std::string Nodes::public_address(std::string const& address) {
+  if (!has_third_octet(address, private_part)) return address;
+  std::size_t const at = second_octet_end(address);
+  return address.substr(0, at) + public_part + address.substr(at + std::strlen(private_part));
 }
 
+bool Nodes::is_node_ip(std::string const& ip) { return has_third_octet(ip, public_part); }
+
 Nodes::~Nodes() {
   for (std::unique_ptr<Node> const& node : all)
     if (node->pid > 0) {
--- a/testing/platform_fleet_test/nodes.h
+++ b/testing/platform_fleet_test/nodes.h
@@ -87,12 +87,10 @@
   // Records a fault of the node's links until `until`: the node does not count as in touch. 'cut_off': it cannot reach
   // the other nodes, or they cannot reach it; otherwise its links are slow or lose messages.
   void mark_link_fault(Node& node, Micros until, bool cut_off);
-  // Translates a node's private address to the public one; returns other addresses unchanged.
-  std::string public_address(std::string const& address) const;
+  // Translates a node's private address, with or without a port, to the public one; returns others unchanged.
+  static std::string public_address(std::string const& address);
   // Whether a public IP address is a node's.
   static bool is_node_ip(std::string const& ip);
-  // The public IP address of a machine, given its public or private one.
-  static std::string public_ip(std::string const& ip);
   // Reports the invariant violations (E910) in the logs, at most 3 for each node.
   void check_logs();
   // Reports the invariant violations in the metrics of the running nodes. Calls `done` once every request has ended.
--- a/testing/platform_fleet_test/operators.cc
+++ b/testing/platform_fleet_test/operators.cc
@@ -448,22 +448,24 @@
 
 // --- checks of the configuration in force
 
+std::vector<int> Operators::idle_routes_missing_in(Configuration const& one, Configuration const& other) {
+  std::vector<int> out;
+  for (std::pair<std::string const, std::string> const& route : other.routes)
+    if (is_idle_name(route.first) && one.routes.count(route.first) == 0) out.push_back(number_of_idle(route.first));
+  return out;
+}
+
 void Operators::schedule_route_probes(Configuration const& configuration, Configuration const& before) {
   Micros const at = now();
-  std::vector<int> changed;
-  for (std::pair<std::string const, std::string> const& route : configuration.routes) {
-    if (!is_idle_name(route.first) || before.routes.count(route.first) > 0) continue;
-    IdleRoute& added = idle_routes[number_of_idle(route.first)];
-    added.added = at;
-    added.added_version = configuration.version;
-    changed.push_back(number_of_idle(route.first));
+  std::vector<int> changed = idle_routes_missing_in(before, configuration);
+  for (int const number : changed) {
+    idle_routes[number].added = at;
+    idle_routes[number].added_version = configuration.version;
   }
-  for (std::pair<std::string const, std::string> const& route : before.routes) {
-    if (!is_idle_name(route.first) || configuration.routes.count(route.first) > 0) continue;
-    IdleRoute& removed = idle_routes[number_of_idle(route.first)];
-    removed.removed = at;
-    removed.removed_version = configuration.version;
-    changed.push_back(number_of_idle(route.first));
+  for (int const number : idle_routes_missing_in(configuration, before)) {
+    idle_routes[number].removed = at;
+    idle_routes[number].removed_version = configuration.version;
+    changed.push_back(number);
   }
   for (int const number : changed) recently_changed_routes.push_back(number);
   while (recently_changed_routes.size() > max_recent_routes) recently_changed_routes.pop_front();
@@ -552,26 +554,21 @@
 
 // A request that was sent later than the propagation delay after a change must not be handled as before it.
 void Operators::judge_late_probe(Probe const& probe, IdleRoute const& route) {
-  bool const served = probe.attempt->runs > 0 || probe.status == 200;
-  bool const added = route.added >= 0 && route.removal_sent < 0;
   bool const removed = route.removed >= 0;
-  if (added && probe.status == 404 && probe.sent > route.added)
-    tally.slowest_effect = std::max(tally.slowest_effect, probe.sent - route.added);
-  if (removed && served && probe.sent > route.removed)
-    tally.slowest_effect = std::max(tally.slowest_effect, probe.sent - route.removed);
-  if (added && probe.sent > route.added + shape.bounds.configuration) {
-    ++tally.added_checks;
-    if (probe.status == 200) ++tally.added_served;
-    if (probe.status == 404)
-      judge.report_violation(Promise::config_late, probe.node->name + " does not serve " + idle_name(route.number) +
-                                                       ", whose addition was acknowledged " +
-                                                       std::to_string((probe.sent - route.added) / 1000) +
-                                                       " ms earlier");
-  }
-  if (removed && served && probe.sent > route.removed + shape.bounds.configuration)
-    judge.report_violation(Promise::config_late, probe.node->name + " still serves " + idle_name(route.number) + " " +
-                                                     std::to_string((probe.sent - route.removed) / 1000) +
-                                                     " ms after its removal was acknowledged");
+  bool const added = !removed && route.added >= 0 && route.removal_sent < 0;
+  Micros const acknowledged = removed ? route.removed : route.added;
+  if ((!removed && !added) || probe.sent <= acknowledged) return;
+  Micros const age = probe.sent - acknowledged;
+  bool const as_before = removed ? probe.attempt->runs > 0 || probe.status == 200 : probe.status == 404;
+  if (as_before) tally.slowest_effect = std::max(tally.slowest_effect, age);
+  if (age <= shape.bounds.configuration) return;
+  if (added) ++tally.added_checks;
+  if (added && probe.status == 200) ++tally.added_served;
+  if (as_before)
+    judge.report_violation(Promise::config_late, probe.node->name + (removed ? " still serves " : " does not serve ") +
+                                                     idle_name(route.number) + ", whose " +
+                                                     (removed ? "removal" : "addition") + " was acknowledged " +
+                                                     std::to_string(age / 1000) + " ms earlier");
 }
 
 // Within the life of a process no request may be handled by an older version than an earlier one.
--- a/testing/platform_fleet_test/operators.h
+++ b/testing/platform_fleet_test/operators.h
@@ -136,6 +136,8 @@
   // Finds the sent configuration that equals a response body; false if there is none. Reports a rejected one.
   bool find_sent(std::string const& body, Configuration& out);
   // Probes the routes that a change added or removed at every node in rotation, after the propagation delay.
+  // Numbers of the idle routes of `other` that `one` does not have.
+  static std::vector<int> idle_routes_missing_in(Configuration const& one, Configuration const& other);
   void schedule_route_probes(Configuration const& configuration, Configuration const& before);
   // Sends a request for an idle route to a node and judges the answer.
   void probe_route(Node& node, int number);
--- a/testing/platform_fleet_test/platform_fleet.cc
+++ b/testing/platform_fleet_test/platform_fleet.cc
@@ -32,7 +32,7 @@
 PlatformFleet::PlatformFleet(PlatformFleetPlan plan_)
     : plan(std::move(plan_)),
       random(plan.seed),
-      relay(plan.relayed ? std::make_unique<FaultRelay>(random.next(), Nodes::public_ip) : nullptr),
+      relay(plan.relayed ? std::make_unique<FaultRelay>(random.next(), Nodes::public_address) : nullptr),
       nodes({plan.folder, plan.program, plan.net, relay.get()}, plan.shape, judge),
       workers(plan.shape, nodes, judge, plan.net, random.next()),
       callers(plan.shape, nodes, judge, plan.net, random.next(), plan.rate_scale),
