Logs tell where the time of an operator's call went: read, forward, queue, rounds, spread

What callers saw: a valid configuration without an acknowledgement. No log told how long a call waited at each stage, so the hypotheses could not be told apart. Event 316 now names the stages of each step, the node that proposed it, a forward that was lost, and how late the loop ran. A forwarded change's reply carries the stages (schema: a pure addition).

--- a/src/consensus/register/change.h
+++ b/src/consensus/register/change.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "base/error.h"
+#include "base/micros.h"
 #include "wire_generated.h"
 
 namespace pipit {
@@ -21,11 +22,20 @@
   std::uint64_t label = 0;
   // The change was forwarded to another node, which may have proposed it. Without a quorum its outcome is unknown.
   bool proposed_elsewhere = false;
+  Micros forward_lost = 0;                 // time that a node to which it was forwarded left it unanswered
   wire::ReplicaT replica;                  // admitted or dismissed
   wire::ReplicaT replaced_replica;         // removed by a `replace`, in favour of `replica`
   wire::RouterRegistrationT registration;  // of the router node to register or evict
 };
 
+// Where the time of a change went at the node that proposed it.
+struct ChangeStages {
+  Micros queued = 0;    // behind other changes of the same proposer
+  Micros proposed = 0;  // in the rounds of the register
+  Micros spread = 0;    // until other nodes confirmed the chosen value, or the wait for them ended
+  unsigned rounds = 0;  // of the register, each with a ballot of its own
+};
+
 // The outcome of a change.
 struct Outcome {
   enum class Type : std::uint8_t {
@@ -38,6 +48,7 @@
   Error error;
   std::uint64_t serial = 0;  // of the change itself, if it was chosen; the value may be newer
   wire::ValueT value;        // the value that was chosen, if one was
+  ChangeStages stages;
 };
 
 }  // namespace pipit
--- a/src/consensus/register/proposer.cc
+++ b/src/consensus/register/proposer.cc
@@ -36,6 +36,7 @@
   PendingChange pending;
   pending.change = std::move(change);
   pending.done = std::move(done);
+  pending.submitted_at = now;
   pending.deadline = now + options_.change_timeout;
   pending_.push_back(std::move(pending));
   return true;
@@ -60,6 +61,7 @@
 }
 
 void Proposer::start_prepare_phase(Micros now, std::vector<OutgoingMessage>& out) {
+  if (pending_.front().started_at < 0) pending_.front().started_at = now;
   ++pending_.front().attempts;
   ballot_ = wire::Ballot(++highest_ballot_number_, proposer_id_);
   ++request_id_;
@@ -96,13 +98,23 @@
   phase_deadline_ = now + min_backoff + static_cast<Micros>(random_.below(static_cast<std::uint64_t>(longest)));
 }
 
-void Proposer::complete_change(Outcome const& outcome) {
+void Proposer::complete_change(Outcome outcome, Micros now) {
   PendingChange pending = std::move(pending_.front());
   pending_.pop_front();
   phase_ = Phase::idle;
+  outcome.stages = stages_of(pending, now);
   pending.done(outcome);
 }
 
+ChangeStages Proposer::stages_of(PendingChange const& pending, Micros now) {
+  ChangeStages out;
+  bool const started = pending.started_at >= 0;
+  out.queued = (started ? pending.started_at : now) - pending.submitted_at;
+  out.proposed = started ? now - pending.started_at : 0;
+  out.rounds = static_cast<unsigned>(pending.attempts);
+  return out;
+}
+
 void Proposer::handle_promise(std::string const& from, wire::PromiseT const& reply, Micros now,
                               std::vector<OutgoingMessage>& out) {
   if (phase_ != Phase::prepare || reply.request_id != request_id_ || !membership_.has_participant(from, reply.disk))
@@ -145,7 +157,7 @@
 }
 
 void Proposer::start_accept_phase(Micros now, std::vector<OutgoingMessage>& out) {
-  if (!make_draft()) return;
+  if (!make_draft(now)) return;
   phase_ = Phase::accept;
   phase_deadline_ = now + options_.phase_timeout;
   Membership const next = membership_of(draft_);
@@ -173,7 +185,7 @@
   out.push_back(message_to(to, std::move(request)));
 }
 
-bool Proposer::make_draft() {
+bool Proposer::make_draft(Micros now) {
   PendingChange& pending = pending_.front();
   draft_ = highest_accepted_value_ ? *highest_accepted_value_ : wire::ValueT();
   // No replica has a value yet: the draft starts with the first membership.
@@ -188,7 +200,7 @@
   if (std::optional<Error> const unknown = unknown_outcome_before_draft(pending)) {
     Outcome outcome;
     outcome.error = *unknown;
-    complete_change(outcome);
+    complete_change(std::move(outcome), now);
     return false;
   }
   apply_change(pending.change);
@@ -330,7 +342,7 @@
   bool const members_changed =
       left_joint && chosen_joint_fingerprint_ != 0 && pending.joint_fingerprint == chosen_joint_fingerprint_;
   if (left_joint && serial == 0 && !members_changed) return start_prepare_phase(now, out);
-  complete_change(outcome_of_draft(serial, members_changed));
+  complete_change(outcome_of_draft(serial, members_changed), now);
 }
 
 Outcome Proposer::outcome_of_draft(std::uint64_t serial, bool members_changed) const {
@@ -379,7 +391,7 @@
   while (!pending_.empty()) {
     PendingChange& pending = pending_.front();
     if (now >= pending.deadline) {
-      complete_change(outcome_without_quorum(pending));
+      complete_change(outcome_without_quorum(pending), now);
       continue;
     }
     if (phase_ == Phase::idle) {
--- a/src/consensus/register/proposer.h
+++ b/src/consensus/register/proposer.h
@@ -76,6 +76,8 @@
   struct PendingChange {
     Change change;
     DoneCallback done;
+    Micros submitted_at = 0;
+    Micros started_at = -1;  // of its first round; -1: it waits behind other changes
     Micros deadline = 0;
     bool accept_sent = false;             // an accept request with this change may have been sent
     std::uint64_t sent_serial = 0;        // serial of this change in the last draft with it; 0 if there is none
@@ -104,7 +106,7 @@
                        std::vector<OutgoingMessage>& out);
   void start_accept_phase(Micros now, std::vector<OutgoingMessage>& out);
   // Drafts the value to write. False if the change was completed instead, with an unknown outcome.
-  bool make_draft();
+  bool make_draft(Micros now);
   // Drafts the next step of a joint membership: until it is known to be chosen, the same value again; then the value
   // without the former set.
   void draft_joint_step();
@@ -121,7 +123,8 @@
   void send_accept(std::string const& to, bool full_value, std::vector<OutgoingMessage>& out) const;
   void handle_chosen(Micros now, std::vector<OutgoingMessage>& out);
   Outcome outcome_of_draft(std::uint64_t serial, bool members_changed) const;
-  void complete_change(Outcome const& outcome);
+  void complete_change(Outcome outcome, Micros now);
+  static ChangeStages stages_of(PendingChange const& pending, Micros now);
 
   std::string const self_;
   ProposerOptions const options_;
--- a/src/node/change_forwarder.cc
+++ b/src/node/change_forwarder.cc
@@ -51,7 +51,7 @@
   wire::ForwardedChangeT request = make_message(request_id, change, learner_.revision());
   encode_text(change.text, request);
   if (!mesh_.send(to, std::move(request), out.mesh)) return false;
-  pending_forwards_[request_id] = PendingForward{id, to, change, now + forward_timeout};
+  pending_forwards_[request_id] = PendingForward{id, to, change, now, now + forward_timeout};
   return true;
 }
 
@@ -131,6 +131,8 @@
   answer.outcome.error.code = static_cast<ErrorCode>(reply.kind);
   answer.outcome.error.what = reply.why;
   answer.outcome.serial = reply.serial;
+  answer.outcome.stages = {reply.queued, reply.proposed, reply.spread, reply.rounds};
+  answer.path = {item.proposer, now - item.forwarded_at, 0};
   // The value was chosen by a majority, so this node adopts it.
   if (reply.value) actions_.adopt_value(item.proposer, *reply.value, now, out);
   // A reply with a revision but no value means that this node holds that value, or by now a newer chosen one.
@@ -166,6 +168,10 @@
   reply.kind = static_cast<std::uint8_t>(outcome.error.code);
   reply.why = outcome.error.what;
   reply.serial = outcome.serial;
+  reply.queued = outcome.stages.queued;
+  reply.proposed = outcome.stages.proposed;
+  reply.spread = outcome.stages.spread;
+  reply.rounds = outcome.stages.rounds;
   // Chosen changes spread on their own; only a read returns the value, unless the requester holds it already.
   bool const read = outcome.type == Outcome::Type::unchanged;
   if (read) reply.revision = outcome.value.revision;
@@ -185,6 +191,7 @@
     // The node that it was forwarded to may have proposed it: without an answer from a quorum a failure here does not
     // prove that the change was not applied.
     item.change.proposed_elsewhere = item.change.type == Change::Type::apply;
+    item.change.forward_lost = now - item.forwarded_at;
     actions_.propose(item.id, std::move(item.change), now, out);
   }
 }
--- a/src/node/change_forwarder.h
+++ b/src/node/change_forwarder.h
@@ -58,6 +58,7 @@
     std::uint64_t id = 0;  // of the operator's call
     std::string proposer;  // the node that the change was forwarded to
     Change change;
+    Micros forwarded_at = 0;
     Micros deadline = 0;  // after which this node proposes the change itself
   };
   struct Requester {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -160,6 +160,7 @@
     std::uint64_t spread_revision = 0;  // of an 'apply': half of the router nodes must hold this revision; else 0
     std::set<std::string> confirmed;    // nodes that have confirmed it
     std::uint64_t serial = 0;           // that a confirmation must have at least
+    Micros chosen_at = 0;
     Micros deadline = 0;
   };
   void handle_message(std::string const& from, wire::BodyUnion& body, Micros now, NodeEffects& out);
--- a/src/node/node_changes.cc
+++ b/src/node/node_changes.cc
@@ -65,6 +65,7 @@
   reply.id = id;
   reply.change_id = change.id;
   reply.outcome = outcome;
+  reply.path = {plan.name, 0, change.forward_lost};
   bool const in_force = outcome.type == Outcome::Type::chosen || outcome.type == Outcome::Type::unchanged;
   std::uint64_t const request_id = ++next_request_id_;
   if (in_force) {
@@ -100,6 +101,7 @@
       if (guard_enabled(Guard::registrations) && guard_enabled(Guard::confirm_all))
         pending.unconfirmed.insert(registration->name);
     pending.unconfirmed.erase(plan.name);
+    pending.chosen_at = now;
     pending.reply = std::move(reply);
     pending_confirmations_.emplace(request_id, std::move(pending));
     complete_confirmations(now, out);
@@ -111,6 +113,7 @@
     PendingConfirmation pending;
     pending.spread_revision = outcome.value.revision;
     pending.deadline = now + (plan.workers_self_register ? self_register_spread_timeout : spread_timeout);
+    pending.chosen_at = now;
     pending.reply = std::move(reply);
     pending_confirmations_.emplace(request_id, std::move(pending));
     complete_confirmations(now, out);
@@ -133,6 +136,7 @@
       ++it;
       continue;
     }
+    item.reply.outcome.stages.spread = now - item.chosen_at;
     item.reply.unconfirmed.assign(unconfirmed.begin(), unconfirmed.end());
     out.replies.push_back(std::move(item.reply));
     it = pending_confirmations_.erase(it);
--- a/src/node/node_effects.h
+++ b/src/node/node_effects.h
@@ -13,12 +13,20 @@
 
 namespace pipit {
 
+// The way of a change from the node that was called.
+struct ChangePath {
+  std::string proposer;     // the node that proposed it
+  Micros forwarded = 0;     // time until that node replied; 0 if this node proposed the change
+  Micros forward_lost = 0;  // time that an unanswered forward took before this node proposed the change itself
+};
+
 // The answer to an operator's change or read.
 struct ChangeReply {
   std::uint64_t id = 0;  // of the operator's call, as given to Node::submit_change()
   Outcome outcome;
   std::vector<std::string> unconfirmed;  // for an 'empty': nodes that have not confirmed it
   std::string change_id;
+  ChangePath path;
 };
 
 // A request for a worker's health report.
--- a/src/server/node_server.cc
+++ b/src/server/node_server.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <iostream>
+#include <utility>
 
 #include "base/events.h"
 #include "base/random_seed.h"
@@ -13,6 +14,7 @@
 namespace {
 Micros now() { return g_get_monotonic_time(); }
 constexpr guint tick_ms = 50;
+constexpr Micros delay_span = seconds(1);
 // §12.6: time that load balancers and clients may need to notice that this node is no longer ready.
 constexpr Micros drain_notice = millis(2600);
 constexpr Micros exit_margin = millis(700);  // the process ends this long before the end of the grace
@@ -197,9 +199,12 @@
   control_server_->respond(call, head, body);
 }
 
-void NodeServer::record_operator_call(std::string const& call, unsigned status, std::string const& why) {
+void NodeServer::record_operator_call(std::string const& call, unsigned status, std::string const& why,
+                                      std::string const& timing) {
   ++operator_answers_[std::to_string(status)];
-  log_event(Event::operator_call_answered, call + " " + std::to_string(status) + (why.empty() ? "" : " " + why));
+  log_event(Event::operator_call_answered, call + " " + std::to_string(status) + (why.empty() ? "" : " " + why) + " " +
+                                               timing + ", loop late by " + std::to_string(recent_delay() / 1000) +
+                                               " ms");
 }
 
 void NodeServer::handle_readiness_call(Server::Request&& call) {
@@ -260,8 +265,18 @@
   if (idle || elapsed >= options_.shutdown_grace - exit_margin) g_main_loop_quit(loop_);
 }
 
+void NodeServer::record_delay(Micros at) {
+  if (at >= delay_span_ends_) {
+    former_delay_ = std::exchange(delay_, 0);
+    delay_span_ends_ = at + delay_span;
+  }
+  if (last_tick_ >= 0) delay_ = std::max(delay_, at - last_tick_ - millis(tick_ms));
+  last_tick_ = at;
+}
+
 void NodeServer::tick() {
   Micros const at = now();
+  record_delay(at);
   NodeEffects out;
   node_->tick(at, out);
   apply_effects(out);
--- a/src/server/node_server.h
+++ b/src/server/node_server.h
@@ -1,6 +1,7 @@
 // Process of a node whose workers register themselves: runs the node core and performs its I/O with clients, workers,
 // operators, peers and the disk (design §12.6).
 #pragma once
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -77,8 +78,12 @@
   // Answers a call at the control address with a JSON body.
   void answer(std::uint64_t call, unsigned status, std::string const& body,
               std::vector<std::pair<std::string, std::string>> const& fields = {});
-  // Counts and logs the answer to an operator's call; 'call' describes the call in the log.
-  void record_operator_call(std::string const& call, unsigned status, std::string const& why);
+  // Counts and logs the answer to an operator's call; 'call' describes the call in the log, 'timing' where its time
+  // went.
+  void record_operator_call(std::string const& call, unsigned status, std::string const& why,
+                            std::string const& timing);
+  // The longest time between two ticks of the last seconds, less the planned one: how long the loop held up events.
+  Micros recent_delay() const { return std::max(delay_, former_delay_); }
   // Performs timed work; run() calls it twenty times a second.
   void tick();
 
@@ -88,6 +93,7 @@
   void handle_readiness_call(Server::Request&& call);
   void handle_metrics_call(Server::Request&& call);
   void advance_shutdown(Micros now);
+  void record_delay(Micros now);
   std::string status() const;
   std::string metrics() const;
   std::string tenants() const;
@@ -112,6 +118,10 @@
   std::shared_ptr<Description const> limits_description_;  // the description whose limits the proxy applies
   Micros next_cleanup_ = 0;
   Micros next_check_ = 0;
+  Micros last_tick_ = -1;
+  Micros delay_ = 0;         // the longest of the present span
+  Micros former_delay_ = 0;  // and of the one before
+  Micros delay_span_ends_ = 0;
   Micros shutdown_started_at_ = -1;  // -1: not shutting down
   bool listeners_closed_ = false;
 };
--- a/tests/node/change_forwarder.cc
+++ b/tests/node/change_forwarder.cc
@@ -177,6 +177,7 @@
   ChangeReply theirs;
   theirs.id = fixture.proposed[0].id;
   theirs.outcome.type = Outcome::Type::chosen;
+  theirs.outcome.stages = {millis(1), millis(2), millis(3), 4};
   fixture.out.replies = {own, theirs};
   fixture.forwarder.tick(0, fixture.out);
   ASSERT_EQ(fixture.out.replies.size(), 1u);
@@ -184,6 +185,10 @@
   std::vector<wire::BodyUnion> bodies = fixture.sent();
   ASSERT_EQ(bodies.size(), 1u);
   EXPECT_EQ(bodies[0].AsForwardedChangeReply()->request_id, 55u);
+  EXPECT_EQ(bodies[0].AsForwardedChangeReply()->queued, millis(1));
+  EXPECT_EQ(bodies[0].AsForwardedChangeReply()->proposed, millis(2));
+  EXPECT_EQ(bodies[0].AsForwardedChangeReply()->spread, millis(3));
+  EXPECT_EQ(bodies[0].AsForwardedChangeReply()->rounds, 4u);
 }
 
 TEST(ChangeForwarder, full_text_is_requested_for_a_patch_with_an_unknown_base) {
