Reports take a part of a hub's link, so that the register's messages are not held up

What callers saw: 'a valid config, sent at N s, had no ack after N ms of calm' on large deployments, and too little served.

Cause: the replicas are the hubs of their zones. For each request that goes elsewhere than to its preferred worker a hub sends a change to each of 50 nodes, and the loads at every tick. In the burst this grew from 4.5 to 17 MB a second on links of 12.5; prepare, accept, polls and forwards waited behind it. Rounds went from 20 ms to 3 s, forwards were lost after 0.6 s, small machines proposed for themselves and failed as well. Nothing bounded what reports take. Class of fault: bulk data of best effort shares a link with control messages, and grows with the load.

Change: in the mode for many nodes loads take at most a third of the link that the settings name (what waits is added up, nothing is lost), changes of the prefix index a fifth; the rest is dropped, those that save the fewest tokens first. A message for many receivers is encoded once. Loads for nodes that reported nothing themselves are one message.

--- a/src/consensus/register/outgoing_message.h
+++ b/src/consensus/register/outgoing_message.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "wire_generated.h"
 
@@ -11,6 +12,7 @@
 struct OutgoingMessage {
   std::string to;
   wire::BodyUnion body;
+  std::vector<std::string> also_to;  // further nodes that the same message goes to, none of which is the sender
 };
 
 // Wraps a message body, which is moved if it is an rvalue.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -121,6 +121,7 @@
   if (plan.workers_self_register) dispatcher.set_started_at(now);
   dispatcher.set_retry_budget(plan.retry_budget_ratio, plan.retry_budget_limit);
   dispatcher.set_lease(key_lease());
+  exchange.set_link(plan.link_bytes_per_second);
 }
 
 ReplicaDirectory::LocalStatus Node::replica_status() {
@@ -209,20 +210,30 @@
         handle_message(plan.name, item.body, now, out);
         continue;
       }
-      std::map<std::string, Peer>::const_iterator const peer = mesh.members.peers.find(item.to);
-      if (peer == mesh.members.peers.end() || peer->second.connection == 0) continue;
-      wire::FrameT frame;
-      frame.body = std::move(item.body);
-      std::string bytes = encode_frame(frame);
-      if (bytes.size() > max_frame_bytes) {
-        log_event(Event::frame_too_large, item.to + " " + std::to_string(bytes.size()));
-        continue;
-      }
-      out.mesh.outgoing_frames.push_back({peer->second.connection, std::move(bytes)});
+      send_frame(item, out);
     }
   }
 }
 
+// The message is encoded once for all of its receivers.
+void Node::send_frame(OutgoingMessage& message, NodeEffects& out) {
+  message.also_to.push_back(message.to);
+  std::vector<ConnectionId> receivers;
+  for (std::string const& name : message.also_to) {
+    std::map<std::string, Peer>::const_iterator const peer = mesh.members.peers.find(name);
+    if (peer != mesh.members.peers.end() && peer->second.connection != 0) receivers.push_back(peer->second.connection);
+  }
+  if (receivers.empty()) return;
+  wire::FrameT frame;
+  frame.body = std::move(message.body);
+  std::string const bytes = encode_frame(frame);
+  if (bytes.size() > max_frame_bytes) {
+    log_event(Event::frame_too_large, message.to + " " + std::to_string(bytes.size()));
+    return;
+  }
+  for (ConnectionId const connection : receivers) out.mesh.outgoing_frames.push_back({connection, bytes});
+}
+
 void Node::handle_message(std::string const& from, wire::BodyUnion& body, Micros now, NodeEffects& out) {
   std::vector<OutgoingMessage> outgoing;
   switch (body.type) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -166,6 +166,7 @@
   void handle_message(std::string const& from, wire::BodyUnion& body, Micros now, NodeEffects& out);
   // Sends all messages, also those that follow from them: to this node itself by a direct call, to others by the mesh.
   void send_messages(std::vector<OutgoingMessage>& outgoing, Micros now, NodeEffects& out);
+  void send_frame(OutgoingMessage& message, NodeEffects& out);
   // How a newer value came to this node; the log names it.
   enum class ValueSource : std::uint8_t { proposal, push, catch_up, poll, forwarded_change };
   static char const* value_source_name(ValueSource source);
@@ -206,8 +207,8 @@
   void adopt_workers(Micros now, NodeEffects& out);
   void restore_worker(std::string const& id, Micros now);
   void send_reports(Micros now, NodeEffects& out);
-  void log_report_hub(GossipPaths const& paths);
   void update_gossip_paths(Micros now);
+  void log_report_hub(GossipPaths const& paths);
   void forward_to_zone(wire::ChosenT const& update, NodeEffects& out);
   void propose(std::uint64_t id, Change change, Micros now, NodeEffects& out);
   void refuse_change(std::uint64_t id, Change const& change, ErrorCode code, NodeEffects& out);
@@ -233,8 +234,8 @@
   std::vector<std::string> index_peers() const;
   // This node, if it is a router, and the router nodes that are alive or suspected; with 'include_down' also others.
   std::set<std::string> known_routers(bool include_down) const;
-  Index::Bounds index_bounds(std::string const& model) const;
   std::size_t count_known_routers(bool include_down) const;
+  Index::Bounds index_bounds(std::string const& model) const;
 
   ReplicaDirectory::LocalStatus replica_status();
   ChangeForwarder::Actions forwarder_actions();
@@ -254,9 +255,9 @@
   Micros next_loads_ = 0;
   Micros loads_sent_at_ = 0;
   std::string last_sent_loads_;
-  std::string report_hub_;  // of this node's zone, when last looked at
   GossipPaths gossip_paths_;
   Micros next_gossip_paths_ = 0;
+  std::string report_hub_;  // of this node's zone, when last looked at
   bool list_read_in_flight_ = false;
   Micros list_read_started_at_ = 0;
   Micros last_list_read_at_ = -1;  // start of the last successful reading of the list; -1: none
--- a/src/node/node_plan.h
+++ b/src/node/node_plan.h
@@ -44,6 +44,7 @@
   // refusal.
   Micros in_force_bound = millis(2000);
   QuotaTerms quota_terms;
+  std::uint64_t link_bytes_per_second = 0;  // that this machine's link carries; 0: unknown
 };
 
 }  // namespace pipit
--- a/src/routing/exchange/report_exchange.h
+++ b/src/routing/exchange/report_exchange.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "consensus/register/outgoing_message.h"
+#include "routing/exchange/send_budget.h"
 #include "routing/registry/registry.h"
 
 namespace pipit {
@@ -54,6 +55,9 @@
   void forward(std::string const& from, wire::LoadsT const& message);
   void forward(wire::DeltasT const& message);
 
+  // Sets what this node's link carries; in the hierarchical mode reports take a part of it only, so that the register's
+  // messages, probes and requests are not held up. 0: no limit.
+  void set_link(std::uint64_t bytes_per_second);
   // Appends the messages that are due to 'out'.
   void tick(Micros now, GossipPaths const& paths, std::vector<OutgoingMessage>& out);
 
@@ -70,11 +74,18 @@
   using IndexChanges = std::map<std::string, std::vector<wire::DeltaT>>;  // by index name
   static wire::LoadsT loads_of(std::vector<LoadReports const*> const& parts, std::uint8_t hops);
   static wire::DeltasT deltas_of(IndexChanges::value_type const& changes, std::uint8_t hops);
-  template <class Message>
-  static void send_to(std::vector<std::string> const& names, Message const& message, std::vector<OutgoingMessage>& out);
+  // Sends one message to several nodes; returns the bytes that it takes of the link.
+  static std::size_t send_to(std::vector<std::string> names, wire::LoadsT message, std::vector<OutgoingMessage>& out);
+  static std::size_t send_to(std::vector<std::string> names, wire::DeltasT message, std::vector<OutgoingMessage>& out);
   void queue_index_change(std::vector<wire::DeltaT>& list, wire::DeltaT item);
-  void send_loads(GossipPaths const& paths, std::vector<OutgoingMessage>& out);
+  void send_loads(GossipPaths const& paths, Micros now, std::vector<OutgoingMessage>& out);
+  std::size_t send_loads_to_zone(GossipPaths const& paths, ZoneReports const& zone, LoadReports const& cross_zone,
+                                 std::vector<OutgoingMessage>& out);
   void send_index_changes(GossipPaths const& paths, std::vector<OutgoingMessage>& out);
+  // Drops changes that the link has no room for, those of the fewest tokens first.
+  void limit_index_changes(GossipPaths const& paths, IndexChanges& zone, IndexChanges& cross_zone);
+  // Keeps a part of the changes, by their size.
+  void keep_heaviest(std::vector<wire::DeltaT>& changes, double part);
 
   std::string const self_;
   LoadReports own_reports_;
@@ -83,6 +94,8 @@
   IndexChanges own_changes_;
   IndexChanges zone_changes_;        // as zone_reports_
   IndexChanges cross_zone_changes_;  // as cross_zone_reports_
+  SendBudget loads_budget_;
+  SendBudget changes_budget_;
   bool urgent_ = false;
   Micros next_loads_ = 0;
   Micros next_deltas_ = 0;
--- a/testing/control_plane_simulator/world.cc
+++ b/testing/control_plane_simulator/world.cc
@@ -20,6 +20,10 @@
 constexpr std::uint64_t save_steps = 4;  // a write and a sync of both copies
 constexpr Micros retransmit_most = millis(200);
 constexpr std::size_t seeds_given = 3;
+// Processor time of a whole core: for a step of a process or a frame that it sends, and for a kilobyte of them.
+constexpr Micros step_cost = 40;
+constexpr Micros kilobyte_cost = 10;
+constexpr double least_share_left = 0.05;  // of a processor, beside requests of clients
 }  // namespace
 
 World::World(WorldPlan plan_) : plan(plan_), random(plan_.seed * 0x9e3779b97f4a7c15ull + 17) {
@@ -57,6 +61,7 @@
   made->clock_rate = 1.0 + (static_cast<double>(random.below(2001)) - 1000.0) * 1e-5;
   made->clock_offset = static_cast<Micros>(random.below(1000000000));
   made->calm_since = time;
+  machine_by_address[made->address] = made->id;
   machines.push_back(std::move(made));
   return machines.back()->id;
 }
@@ -145,6 +150,7 @@
   machine.powered = true;
   machine.frozen = false;
   machine.deferred.clear();
+  machine.busy_until = time;
   machine.started_at = time;
   machine.stop_from = -1;
   machine.announced = false;
@@ -288,11 +294,44 @@
   });
 }
 
-void World::enter(MachineId id, std::uint64_t process, Step const& step) {
+void World::slow_down(MachineId id, double times, Micros span) {
+  machines[id]->slowdown *= times;
+  begin_fault(*machines[id]);
+  after(span, [this, id, times] {
+    machines[id]->slowdown /= times;
+    end_fault(*machines[id]);
+  });
+}
+
+Micros World::processing_time(Machine const& machine, std::size_t steps, std::size_t bytes) const {
+  double const share = limits_of(machine).processor_share;
+  if (share <= 0) return 0;
+  double const cost = static_cast<double>(steps) * step_cost + static_cast<double>(bytes) / 1024 * kilobyte_cost;
+  double const left = std::max(share - machine.request_processor, share * least_share_left);
+  return static_cast<Micros>(cost * machine.slowdown / left);
+}
+
+Micros World::transmit(Micros at, std::size_t bytes, std::uint64_t bytes_per_second, Micros& busy_until) {
+  if (bytes_per_second == 0) return at;
+  Micros const span = static_cast<Micros>(bytes * 1000000 / bytes_per_second);
+  busy_until = std::max(busy_until, at) + span;
+  return busy_until;
+}
+
+void World::enter(MachineId id, std::uint64_t process, Step const& step, std::size_t bytes) {
+  Machine& machine = *machines[id];
+  if (!machine.up() || machine.process != process) return;
+  Micros const cost = machine.frozen ? 0 : processing_time(machine, 1, bytes);
+  if (cost == 0) return run_step(id, process, step);
+  machine.busy_until = std::max(machine.busy_until, time) + cost;
+  at(machine.busy_until, [this, id, process, step] { run_step(id, process, step); });
+}
+
+void World::run_step(MachineId id, std::uint64_t process, Step const& step) {
   Machine& machine = *machines[id];
   if (!machine.up() || machine.process != process) return;
   if (machine.frozen) {
-    machine.deferred.push_back([this, id, process, step] { enter(id, process, step); });
+    machine.deferred.push_back([this, id, process, step] { run_step(id, process, step); });
     return;
   }
   if (!log_is_muted()) log_prefix() = std::to_string(time / 1000) + " " + machine.name + " ";
@@ -312,6 +351,10 @@
 void World::obey(Machine& machine, NodeEffects& out) {
   if (out.record_to_sync) save(machine, std::move(*out.record_to_sync));
   for (std::string const& address : out.mesh.dial_addresses) dial(machine, address);
+  std::size_t bytes = 0;
+  for (ConnectionEffects::OutgoingFrame const& item : out.mesh.outgoing_frames) bytes += item.bytes.size();
+  Micros const sending = processing_time(machine, out.mesh.outgoing_frames.size(), bytes);
+  if (sending > 0) machine.busy_until = std::max(machine.busy_until, time) + sending;
   for (ConnectionEffects::OutgoingFrame& item : out.mesh.outgoing_frames) {
     std::map<ConnectionId, std::pair<std::shared_ptr<Link>, int>>::const_iterator const position =
         machine.connections.find(item.connection);
@@ -458,9 +501,9 @@
 }
 
 void World::dial(Machine& machine, std::string const& address) {
-  Machine* target = nullptr;
-  for (std::unique_ptr<Machine> const& item : machines)
-    if (item->address == address && !item->removed) target = item.get();
+  std::map<std::string, MachineId>::const_iterator const position = machine_by_address.find(address);
+  bool const exists = position != machine_by_address.end() && !machines[position->second]->removed;
+  Machine* const target = exists ? machines[position->second].get() : nullptr;
   if (target == nullptr || !target->powered)
     return dial_fails(machine.id, machine.process, address, false, dial_timeout);
   Barrier const* barrier = barrier_between(machine.id, target->id);
@@ -526,7 +569,13 @@
 
 void World::send(std::shared_ptr<Link> const& link, int side, std::string bytes, bool last) {
   count(*link, side, bytes);
-  Micros const due = std::max(link->latest[side] + 1, time + lag());
+  Machine& sender = *machines[link->end[side]];
+  Machine& receiver = *machines[link->end[1 - side]];
+  Micros const sent_at =
+      transmit(time, bytes.size(), limits_of(sender).link_bytes_per_second, sender.sending_until) + lag();
+  Micros const received_at =
+      transmit(sent_at, bytes.size(), limits_of(receiver).link_bytes_per_second, receiver.receiving_until);
+  Micros const due = std::max(link->latest[side] + 1, received_at);
   link->latest[side] = due;
   link->queue[side].push_back(Link::Frame{due, std::move(bytes), last});
   if (!link->scheduled[side]) schedule(link, side);
@@ -553,12 +602,15 @@
   }
   if (frame.last) return reset_side(link, to);
   ConnectionId const connection = link->connection[to];
-  enter(target.id, target.process,
-        [this, link, to, connection, bytes = std::move(frame.bytes)](Node& node, Micros now, NodeEffects& out) {
-          Machine& machine = *machines[link->end[to]];
-          if (machine.connections.count(connection) == 0) return;
-          if (!node.receive_frame(connection, bytes, now, out)) out.mesh.closed_connections.push_back(connection);
-        });
+  std::size_t const size = frame.bytes.size();
+  enter(
+      target.id, target.process,
+      [this, link, to, connection, bytes = std::move(frame.bytes)](Node& node, Micros now, NodeEffects& out) {
+        Machine& machine = *machines[link->end[to]];
+        if (machine.connections.count(connection) == 0) return;
+        if (!node.receive_frame(connection, bytes, now, out)) out.mesh.closed_connections.push_back(connection);
+      },
+      size);
 }
 
 // A side ends the connection. 'silent': its machine lost power and says nothing.
--- a/testing/control_plane_simulator/world.h
+++ b/testing/control_plane_simulator/world.h
@@ -21,6 +21,12 @@
 enum class CutKind : std::uint8_t { silent, reset, refused };
 enum class CutWay : std::uint8_t { both, inbound, outbound };
 
+// What a machine can do in a second. Steps of its process wait for its processor, frames for its link.
+struct MachineLimits {
+  double processor_share = 0;               // of a core; 0: steps take no time
+  std::uint64_t link_bytes_per_second = 0;  // each way; 0: no limit
+};
+
 struct WorldPlan {
   std::uint64_t seed = 1;
   std::size_t disks = 3;
@@ -32,6 +38,8 @@
   Micros sync_most = 900;
   Micros link_least = 300;
   Micros link_most = 800;
+  MachineLimits replica_limits = {};
+  MachineLimits plain_limits = {};
 };
 
 using MachineId = std::size_t;
@@ -83,6 +91,12 @@
   std::uint64_t bytes_moved = 0;              // in frames, sent and received
   std::map<wire::Body, FrameCount> received;  // frames that were sent to it, by kind
 
+  double slowdown = 1;           // of its processor
+  double request_processor = 0;  // cores that requests of clients take
+  Micros busy_until = 0;         // when its processor has done the steps that are due
+  Micros sending_until = 0;
+  Micros receiving_until = 0;
+
   int faults = 0;           // that it suffers now
   Micros calm_since = 0;    // the end of the last one
   Micros alone_since = -1;  // since when it is cut off with less than a majority
@@ -116,6 +130,8 @@
   void stop(MachineId id);
   void freeze(MachineId id, Micros span);
   void stall_disk(MachineId id, Micros span);
+  // Its processor takes so many times as long for each step.
+  void slow_down(MachineId id, double times, Micros span);
   // Also of a machine that is down, or that was never started.
   void fill_disk(MachineId id, Micros span);
   void step_clock(MachineId id, Micros by) { machines[id]->wall_offset += by; }
@@ -127,8 +143,9 @@
   void heal();
   bool cut(MachineId from, MachineId to) const { return barrier_between(from, to) != nullptr; }
 
-  // Runs one step of a machine's process: later while it is frozen, never once that process has ended.
-  void enter(MachineId id, std::uint64_t process, Step const& step);
+  // Runs one step of a machine's process: later while it is frozen or its processor is busy, never once that process
+  // has ended. 'bytes' is the size of what it reads.
+  void enter(MachineId id, std::uint64_t process, Step const& step, std::size_t bytes = 0);
 
   Machine& machine(MachineId id) { return *machines[id]; }
   Machine const& machine(MachineId id) const { return *machines[id]; }
@@ -183,6 +200,14 @@
     return least + static_cast<Micros>(random.below(static_cast<std::uint64_t>(most - least + 1)));
   }
   void tick(MachineId id, std::uint64_t process);
+  MachineLimits const& limits_of(Machine const& machine) const {
+    return machine.replica ? plan.replica_limits : plan.plain_limits;
+  }
+  // How long the machine's processor takes for so many steps or frames and bytes.
+  Micros processing_time(Machine const& machine, std::size_t steps, std::size_t bytes) const;
+  void run_step(MachineId id, std::uint64_t process, Step const& step);
+  // When the last of so many bytes has passed through a link that is busy until 'busy_until', which it updates.
+  static Micros transmit(Micros at, std::size_t bytes, std::uint64_t bytes_per_second, Micros& busy_until);
   void obey(Machine& machine, NodeEffects& out);
   void end(Machine& machine, bool silent);
   void check_stop(MachineId id, std::uint64_t process);
@@ -211,6 +236,7 @@
   std::uint64_t order = 0;
   std::priority_queue<Event> events;
   std::vector<std::unique_ptr<Machine>> machines;
+  std::map<std::string, MachineId> machine_by_address;
   std::vector<Barrier> barriers;
   std::vector<std::weak_ptr<Link>> links;
   std::uint64_t processes = 0;
--- a/tests/platform.cc
+++ b/tests/platform.cc
@@ -79,6 +79,7 @@
   fields["bounds.extra_retries"] = "10";
   fields["bounds.grace_s"] = "2.5";
   fields["beat_interval_ms"] = "700";
+  fields["limits.link_mbps"] = "10";
   Result<NodeServerOptions> const plan = plan_from_fields(fields);
   ASSERT_TRUE(plan) << plan.error().what;
   EXPECT_EQ(plan.value().node.name, "n1");
@@ -88,6 +89,7 @@
   EXPECT_EQ(plan.value().node.seeds, (std::vector<std::string>{"127.0.0.2:7100", "127.0.0.3:7100"}));
   EXPECT_EQ(plan.value().shutdown_grace, millis(2500));
   EXPECT_EQ(plan.value().node.heartbeat_interval, millis(700));
+  EXPECT_EQ(plan.value().node.link_bytes_per_second, 1250000u);
   EXPECT_LE(plan.value().node.retry_budget_ratio, 0.4);
   EXPECT_LE(plan.value().node.retry_budget_limit, 10);
   EXPECT_FALSE(plan.value().node.is_replica);
