The same prompt parts at the same worker are announced once in two seconds

In a large fleet every request that went elsewhere than to its preferred worker announced its parts to all nodes, also where they had heard of the same parts at the same worker a moment ago: with a popular prompt most announcements told nothing new. An index now tells whether a worker used a part lately, by this node's sends or by what peers announced.

Test: DispatcherTest.a_large_fleet_announces_the_same_parts_at_a_worker_once_in_a_while, written with the change.

--- a/src/routing/dispatch/dispatcher.h
+++ b/src/routing/dispatch/dispatcher.h
@@ -272,6 +272,8 @@
   static Micros prefill_time(std::int64_t uncached, std::int64_t cached);
   void start_attempt(Request& request, Instance& instance, std::int64_t uncached, std::int64_t cached,
                      Micros predicted_first_event, bool is_preferred, Micros now, DispatchEffects& out);
+  void announce_shared_parts(PromptParts const& parts, std::string const& index_name, std::string const& worker,
+                             Index::Bounds const& bounds, Micros now);
   bool has_free_alternative(Request const& request, Micros now) const;
   void release(Request& request);
   void reject(Request& request, ErrorCode error, Micros retry_after, Micros now, DispatchEffects& out);
--- a/src/routing/dispatch/placement.cc
+++ b/src/routing/dispatch/placement.cc
@@ -20,6 +20,7 @@
 constexpr double recompute_price = 0.0005;
 constexpr double cross_zone_price = 0.0000025;
 constexpr double preferred_worker_discount = 0.00008;
+constexpr Micros announcement_interval = seconds(2);  // of the same prompt parts at a worker
 
 std::int64_t prompt_tokens(RequestInfo const& info) {
   std::int64_t sum = 0;
@@ -165,6 +166,21 @@
                      });
 }
 
+// Announces all shared parts, so that a peer can apply the change without a base. Peers that have heard of the same
+// parts at this worker a moment ago gain nothing from it.
+void Dispatcher::announce_shared_parts(PromptParts const& parts, std::string const& index_name,
+                                       std::string const& worker, Index::Bounds const& bounds, Micros now) {
+  Index& index = index_sync_.index(index_name);
+  Path const path(parts.path.begin(), parts.path.end() - 1);
+  if (index.used_since(path.back(), worker, now - announcement_interval)) return;
+  std::vector<std::uint32_t> const tokens(parts.tokens.begin(), parts.tokens.end() - 1);
+  wire::DeltaT delta = index.touch(path, worker, 1, bounds, now, tokens);
+  delta.base = 0;
+  delta.tail = path;
+  delta.weights = tokens;
+  exchange_.report_index_change(index_name, std::move(delta));
+}
+
 void Dispatcher::start_attempt(Request& request, Instance& instance, std::int64_t uncached, std::int64_t cached,
                                Micros predicted_first_event, bool is_preferred, Micros now, DispatchEffects& out) {
   check_invariant(instance.accepts_requests(), Invariant::leaving_worker, [&] {
@@ -198,16 +214,8 @@
     exchange_.report_index_change(
         request.index_name,
         index_sync_.index(request.index_name).touch(parts.path, instance.id, 1, bounds, now, parts.tokens));
-  if (large_fleet_ && !is_preferred && parts.path.size() > 1) {
-    // Announces all shared parts, so that a peer can apply the change without a base.
-    Path const path(parts.path.begin(), parts.path.end() - 1);
-    std::vector<std::uint32_t> const tokens(parts.tokens.begin(), parts.tokens.end() - 1);
-    wire::DeltaT delta = index_sync_.index(request.index_name).touch(path, instance.id, 1, bounds, now, tokens);
-    delta.base = 0;
-    delta.tail = path;
-    delta.weights = tokens;
-    exchange_.report_index_change(request.index_name, std::move(delta));
-  }
+  if (large_fleet_ && !is_preferred && parts.path.size() > 1)
+    announce_shared_parts(parts, request.index_name, instance.id, bounds, now);
   Attempt attempt;
   attempt.request = request.id;
   attempt.instance = instance.id;
--- a/src/routing/index/index.cc
+++ b/src/routing/index/index.cc
@@ -139,6 +139,15 @@
   return out;
 }
 
+bool Index::used_since(std::uint64_t hash, std::string const& worker, Micros since) const {
+  tsl::robin_map<std::uint64_t, std::unique_ptr<PrefixNode>>::const_iterator const position = prefix_nodes_.find(hash);
+  if (position == prefix_nodes_.end()) return false;
+  PrefixNodeList const& entries = position->second->entries;
+  return std::any_of(entries.begin(), entries.end(), [&worker, since](CacheEntry const& item) {
+    return item.last >= since && item.cache->worker == worker;
+  });
+}
+
 bool Index::apply(wire::DeltaT const& delta, Bounds const& bounds, Micros now) {
   // The cache first: a new incarnation empties it, which removes prefix nodes that only the former one had, perhaps the
   // base too.
--- a/src/routing/index/index.h
+++ b/src/routing/index/index.h
@@ -34,6 +34,8 @@
                      Micros now, std::vector<std::uint32_t> const& weights = {});
   // Applies a peer's delta. False if its base is unknown here: then the tree must be pulled.
   bool apply(wire::DeltaT const& delta, Bounds const& bounds, Micros now);
+  // Whether the worker is assumed to have this block cached and has used it at this time or later.
+  bool used_since(std::uint64_t hash, std::string const& worker, Micros since) const;
   // Removes all entries of a worker.
   void forget(std::string const& worker);
   // Evicts the entries of each worker that exceed the bounds.
--- a/tests/dispatcher.cc
+++ b/tests/dispatcher.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <set>
 
 #include "base/random.h"
 #include "routing/dispatch/dispatcher.h"
@@ -594,6 +595,30 @@
   EXPECT_EQ(first.attempts[0].instance, home);
 }
 
+TEST_F(DispatcherTest, a_large_fleet_announces_the_same_parts_at_a_worker_once_in_a_while) {
+  dispatcher.set_node_count(100, true);
+  for (char const* const id : {"w1", "w2", "w3", "w4"}) worker(id);
+  RequestInfo info = request_info("once");
+  info.parts = parse_prompt_parts("aa:400,bb:50");
+  std::string const preferred = place(1, info);
+  std::set<std::string> others;
+  std::size_t moved = 0;
+  std::uint64_t id = 1;
+  while (id < 30) {
+    std::string const at = place(++id, info);
+    if (at.empty() || at == preferred) continue;
+    ++moved;
+    others.insert(at);
+  }
+  ASSERT_GT(moved, others.size());
+  EXPECT_EQ(exchange.index_changes.announced, others.size());
+  now += seconds(3);
+  std::string at = preferred;
+  while (at == preferred) at = place(++id, info);
+  ASSERT_FALSE(at.empty());
+  EXPECT_EQ(exchange.index_changes.announced, others.size() + 1);
+}
+
 TEST_F(DispatcherTest, workers_of_the_own_zone_are_preferred_until_they_are_loaded) {
   worker("near");
   Heartbeat far = heartbeat_of("far", 1);
