A change is answered before the node that forwarded it proposes it a second time

What callers saw: an order that is silent for more than a second, so that they go on to the next node.

Class of fault: a wait inside a wait that is shorter.

Change: the replica answers 450 ms after it was asked, or 100 ms after the change was chosen if that is later; a static_assert keeps that below the forward's limit. CONFIG does not rest on the wait: it ended before, and nodes confirm their configuration within the bound.

Test: ConfigurationSpread.forwarded_change_is_answered_once_although_most_nodes_do_not_confirm_it; on the former code it failed (the change was proposed by the node that had forwarded it).

--- a/src/node/change_forwarder.cc
+++ b/src/node/change_forwarder.cc
@@ -5,11 +5,11 @@
 #include <vector>
 
 #include "consensus/register/text_patch.h"
+#include "node/change_times.h"
 
 namespace pipit {
 
 namespace {
-constexpr Micros forward_timeout = millis(600);
 constexpr std::uint64_t forwarded_id_flag = 1ull << 63;  // set in the ids of changes proposed for other nodes
 
 bool is_forwardable(Change::Type type) { return type == Change::Type::apply || type == Change::Type::read; }
--- a/src/node/node_changes.cc
+++ b/src/node/node_changes.cc
@@ -3,6 +3,7 @@
 
 #include "base/events.h"
 #include "base/guards.h"
+#include "node/change_times.h"
 #include "node/node.h"
 
 namespace pipit {
@@ -10,7 +11,13 @@
 namespace {
 constexpr Micros confirmation_timeout = millis(2000);
 constexpr Micros spread_timeout = millis(1200);
-constexpr Micros self_register_spread_timeout = millis(700);  // where workers register themselves
+
+// The wait for confirmations of a change that has just been chosen. Where workers register themselves, the node that
+// forwarded the change must be answered before it proposes the change itself.
+Micros spread_wait(NodePlan const& plan, ChangeStages const& stages) {
+  if (!plan.workers_self_register) return spread_timeout;
+  return std::max(min_spread_wait, chosen_reply_limit - stages.queued - stages.proposed);
+}
 }  // namespace
 
 void Node::submit_change(std::uint64_t id, Change change, Micros now, NodeEffects& out) {
@@ -112,7 +119,7 @@
     // happens to the others.
     PendingConfirmation pending;
     pending.spread_revision = outcome.value.revision;
-    pending.deadline = now + (plan.workers_self_register ? self_register_spread_timeout : spread_timeout);
+    pending.deadline = now + spread_wait(plan, outcome.stages);
     pending.chosen_at = now;
     pending.reply = std::move(reply);
     pending_confirmations_.emplace(request_id, std::move(pending));
--- a/tests/configuration_spread.cc
+++ b/tests/configuration_spread.cc
@@ -32,6 +32,7 @@
     world.on_plan = [](NodePlan& plan) { plan.in_force_bound = confirmation_bound; };
     world.on_reply = [this](Machine&, ChangeReply const& reply) {
       if (reply.outcome.type != Outcome::Type::chosen) return;
+      last_path = reply.path;
       acknowledged = std::max(acknowledged, reply.id);
     };
     world.boot_all(true);
@@ -76,6 +77,7 @@
   }
 
   World world;
+  ChangePath last_path;  // of the last acknowledged change
 
  private:
   static WorldPlan plan_of(std::size_t nodes, std::uint64_t seed) {
@@ -125,6 +127,18 @@
   EXPECT_EQ(fleet.nodes_without_newest(), "");
 }
 
+// A caller goes on to the next node after a second of silence.
+TEST(ConfigurationSpread, forwarded_change_is_answered_once_although_most_nodes_do_not_confirm_it) {
+  constexpr MachineId plain = zone_count;
+  LargeFleet fleet(48, 3);
+  for (MachineId id = plain + 1; id < fleet.world.size(); ++id) fleet.world.freeze(id, seconds(3));
+  Micros const sent_at = fleet.world.now();
+  ASSERT_TRUE(fleet.change(plain));
+  EXPECT_LT(fleet.world.now() - sent_at, seconds(1));
+  EXPECT_EQ(fleet.last_path.forward_lost, 0);
+  EXPECT_GT(fleet.last_path.forwarded, 0);
+}
+
 // A whole value may be half a megabyte: replies of several replicas must not lead to a request each.
 TEST(ConfigurationSpread, node_that_replicas_tell_of_a_newer_revision_requests_it_once_at_a_time) {
   constexpr MachineId plain = zone_count;
