--- a/src/node/node.h
+++ b/src/node/node.h
@@ -184,6 +184,15 @@
   void send_full_value(std::string const& to, wire::CatchUpRequestT const& request,
                        std::vector<OutgoingMessage>& outgoing) const;
   void finish_change(std::uint64_t id, Change const& change, Outcome const& outcome, Micros now, NodeEffects& out);
+  // Adopts the value that contains a change of this node, and sends it to the other nodes.
+  void bring_into_force(Change const& change, Outcome const& outcome, std::uint64_t request_id, Micros now,
+                        NodeEffects& out);
+  void note_failed_change(Change const& change, Outcome const& outcome, Micros now, NodeEffects& out);
+  // A change that this node needed for itself has an outcome.
+  void finish_own_change(Change const& change);
+  // Keep the reply until other nodes have confirmed the value, or the wait for them ends.
+  void await_drain_confirmations(ChangeReply reply, std::uint64_t request_id, Micros now, NodeEffects& out);
+  void await_spread(ChangeReply reply, std::uint64_t request_id, Micros now, NodeEffects& out);
   void finish_ended_changes(Micros now, NodeEffects& out);
   // Invariants of replies to operators and of values that come into force (node/node_invariants.cc).
   void record_call(std::uint64_t id, Change const& change);
--- a/src/node/node_changes.cc
+++ b/src/node/node_changes.cc
@@ -75,58 +75,72 @@
   reply.path = {plan.name, 0, change.forward_lost};
   bool const in_force = outcome.type == Outcome::Type::chosen || outcome.type == Outcome::Type::unchanged;
   std::uint64_t const request_id = ++next_request_id_;
-  if (in_force) {
-    log_event(Event::value_chosen,
-              "serial " + std::to_string(outcome.value.serial) + " change " + outcome.value.change);
-    bool const fresh = learner.adopt(outcome.value, now);
-    if (fresh) apply_adopted_value(ValueSource::proposal, plan.name, now, out);
-    // Also if a poll brought the value here first: this may be the only node that sends it to the others.
-    if (fresh || outcome.type == Outcome::Type::chosen || change.type >= Change::Type::empty)
-      broadcast_value(outcome.value, fresh ? learner.previous_value : std::nullopt, request_id, out);
-    update_readiness(now, out);
-  } else {
-    log_event(outcome.type == Outcome::Type::unknown ? Event::change_outcome_unknown : Event::change_rejected,
-              change.id + " " + error_code_row(outcome.error.code).name);
-    if (outcome.value.serial > 0 && learner.adopt(outcome.value, now))
-      apply_adopted_value(ValueSource::proposal, plan.name, now, out);
-  }
-  if (id == 0) {
-    if (change.type == Change::Type::register_router)
-      router_registrations_.finish_registration();
-    else
-      replica_set_manager_.finish_change();
-    return;
-  }
-  if (change.type == Change::Type::empty && in_force) {
-    PendingConfirmation pending;
-    pending.serial = outcome.serial > 0 ? outcome.serial : outcome.value.serial;
-    pending.deadline = now + confirmation_timeout;
-    // All router nodes that may be serving must confirm: those in the member table, and all that are registered (§5.9).
-    for (std::string const& name : known_routers(true))
-      if (guard_enabled(Guard::confirm_all)) pending.unconfirmed.insert(name);
-    for (std::unique_ptr<wire::RouterRegistrationT> const& registration : outcome.value.registrations)
-      if (guard_enabled(Guard::registrations) && guard_enabled(Guard::confirm_all))
-        pending.unconfirmed.insert(registration->name);
-    pending.unconfirmed.erase(plan.name);
-    pending.chosen_at = now;
-    pending.reply = std::move(reply);
-    pending_confirmations_.emplace(request_id, std::move(pending));
-    complete_confirmations(now, out);
-    return;
-  }
-  if (outcome.type == Outcome::Type::chosen && guard_enabled(Guard::spread)) {
-    // §5.5: the change is acknowledged once half of the router nodes hold it, so that it reaches all nodes whatever
-    // happens to the others.
-    PendingConfirmation pending;
-    pending.spread_revision = outcome.value.revision;
-    pending.deadline = now + spread_wait(plan, outcome.stages);
-    pending.chosen_at = now;
-    pending.reply = std::move(reply);
-    pending_confirmations_.emplace(request_id, std::move(pending));
-    complete_confirmations(now, out);
-    return;
-  }
-  out.replies.push_back(std::move(reply));
+  if (in_force)
+    bring_into_force(change, outcome, request_id, now, out);
+  else
+    note_failed_change(change, outcome, now, out);
+  if (id == 0) return finish_own_change(change);
+  if (change.type == Change::Type::empty && in_force)
+    await_drain_confirmations(std::move(reply), request_id, now, out);
+  else if (outcome.type == Outcome::Type::chosen && guard_enabled(Guard::spread))
+    await_spread(std::move(reply), request_id, now, out);
+  else
+    out.replies.push_back(std::move(reply));
+}
+
+void Node::bring_into_force(Change const& change, Outcome const& outcome, std::uint64_t request_id, Micros now,
+                            NodeEffects& out) {
+  log_event(Event::value_chosen, "serial " + std::to_string(outcome.value.serial) + " change " + outcome.value.change);
+  bool const fresh = learner.adopt(outcome.value, now);
+  if (fresh) apply_adopted_value(ValueSource::proposal, plan.name, now, out);
+  // Also if a poll brought the value here first: this may be the only node that sends it to the others.
+  if (fresh || outcome.type == Outcome::Type::chosen || change.type >= Change::Type::empty)
+    broadcast_value(outcome.value, fresh ? learner.previous_value : std::nullopt, request_id, out);
+  update_readiness(now, out);
+}
+
+void Node::note_failed_change(Change const& change, Outcome const& outcome, Micros now, NodeEffects& out) {
+  log_event(outcome.type == Outcome::Type::unknown ? Event::change_outcome_unknown : Event::change_rejected,
+            change.id + " " + error_code_row(outcome.error.code).name);
+  if (outcome.value.serial > 0 && learner.adopt(outcome.value, now))
+    apply_adopted_value(ValueSource::proposal, plan.name, now, out);
+}
+
+void Node::finish_own_change(Change const& change) {
+  if (change.type == Change::Type::register_router)
+    router_registrations_.finish_registration();
+  else
+    replica_set_manager_.finish_change();
+}
+
+// All router nodes that may be serving must confirm: those in the member table, and all that are registered (§5.9).
+void Node::await_drain_confirmations(ChangeReply reply, std::uint64_t request_id, Micros now, NodeEffects& out) {
+  Outcome const& outcome = reply.outcome;
+  PendingConfirmation pending;
+  pending.serial = outcome.serial > 0 ? outcome.serial : outcome.value.serial;
+  pending.deadline = now + confirmation_timeout;
+  for (std::string const& name : known_routers(true))
+    if (guard_enabled(Guard::confirm_all)) pending.unconfirmed.insert(name);
+  for (std::unique_ptr<wire::RouterRegistrationT> const& registration : outcome.value.registrations)
+    if (guard_enabled(Guard::registrations) && guard_enabled(Guard::confirm_all))
+      pending.unconfirmed.insert(registration->name);
+  pending.unconfirmed.erase(plan.name);
+  pending.chosen_at = now;
+  pending.reply = std::move(reply);
+  pending_confirmations_.emplace(request_id, std::move(pending));
+  complete_confirmations(now, out);
+}
+
+// §5.5: the change is acknowledged once half of the router nodes hold it, so that it reaches all nodes whatever happens
+// to the others.
+void Node::await_spread(ChangeReply reply, std::uint64_t request_id, Micros now, NodeEffects& out) {
+  PendingConfirmation pending;
+  pending.spread_revision = reply.outcome.value.revision;
+  pending.deadline = now + spread_wait(plan, reply.outcome.stages);
+  pending.chosen_at = now;
+  pending.reply = std::move(reply);
+  pending_confirmations_.emplace(request_id, std::move(pending));
+  complete_confirmations(now, out);
 }
 
 void Node::complete_confirmations(Micros now, NodeEffects& out) {
