A node keeps one account of the bytes held for its connections, with a limit

Callers saw a node end: 60 clients that sent a legal body but its last byte took 286 MB where 64 were allowed, 60 legal bodies on a route 481 MB, since each place bounded one connection and none the sum, and a body lay there twice.

Cause: no place knew what the process held. src/net/connection_budget is now the one account, from limits.memory_mb and limits.file_descriptors: each accepted connection reports the request (with the memory of its fields and its copies), the bytes behind it (with the kernel's buffer while reading is paused) and the answer bytes that were not accepted. In a full part the connection without progress for longest gives way, with a 503 that promises that nothing ran; 16 KiB count as progress, single bytes do not. Running requests never give way; large ones leave a quarter to others. A large body is shared with the attempt; a large answer waits at the worker for a slow client; the next pipelined request waits until the last answer was read; an own rejection reads on for two seconds, so that it arrives.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -63,8 +63,8 @@
   // head_too_large also stands for too large trailers.
   enum class Error : std::uint8_t { none, malformed, head_too_large, body_too_large };
   struct Callbacks {
-    // The head is complete. A return of false means that no body follows whatever the head announces (response to
-    // HEAD).
+    // The head is complete and may be moved from. A return of false means that no body follows whatever the head
+    // announces (response to HEAD).
     std::function<bool(Head&)> head;
     std::function<void(std::string_view)> body;  // the next bytes of the body, without chunk framing
     std::function<void()> complete;              // the message is complete
@@ -82,6 +82,10 @@
   bool eof();
   // Discards the state of the current message and prepares for the next one on the connection.
   void start_next_message();
+  // Memory of the head that is being received, with the objects of its fields; 0 once the head is complete.
+  std::size_t held_head_bytes() const { return head_complete_ ? 0 : received_head_bytes(); }
+  // Memory of the complete head, when the head callback is called.
+  std::size_t received_head_bytes() const { return head_bytes_ + head_.fields.capacity() * sizeof(head_.fields[0]); }
   // True before the first byte of a message.
   bool idle() const { return !started_; }
   // True between the end of the head and the end of the message.
--- a/src/net/server.cc
+++ b/src/net/server.cc
@@ -10,21 +10,37 @@
 namespace pipit {
 
 namespace {
-constexpr std::size_t max_read_ahead_bytes =
-    65536;  // received before the current response ends; reading pauses above it
+constexpr std::size_t max_read_ahead_bytes = 4096;  // behind the current request; reading pauses from there on
+constexpr std::size_t head_read_bytes = 8192;       // read at once as long as no body is being received
+constexpr std::size_t body_read_bytes = 65536;
+// The next request of a connection waits as long as its client has left more than this of the last answer unread.
+constexpr std::size_t max_unread_answer_bytes = 64u << 10;
+constexpr Micros unread_answer_timeout = seconds(30);
+constexpr Micros memory_retry_after = seconds(1);
 Micros now() { return loop_time(); }
 
 // Logs the end of a flushed connection unless it was orderly: the client may lack a part of its last response.
 void log_lost_response(std::string const& peer, TcpConnection::CloseReason reason) {
   if (reason != TcpConnection::CloseReason::closed) log_event(Event::last_answer_lost, peer);
 }
+
+// The answer to a request for which there is no memory. Nothing of it has run.
+Head unavailable_head() {
+  Head head;
+  head.status = 503;
+  head.fields.emplace_back("Retry-After", std::to_string(memory_retry_after / seconds(1)));
+  return head;
+}
 }  // namespace
 
 struct Server::Connection {
   std::shared_ptr<TcpConnection> tcp;
   HttpParser parser{true};
   Request request;
-  std::string read_ahead;         // bytes received after the current request
+  std::size_t head_bytes = 0;  // memory of the request's head
+  std::string read_ahead;      // bytes received after the current request
+  bool reading_paused = false;
+  bool awaits_reader = false;     // the client has left too much of the last answer unread
   bool has_request = false;       // a request was delivered and its response has not ended
   bool response_started = false;  // the response head was sent
   bool chunked = false;
@@ -36,6 +52,11 @@
   Micros idle_timeout = 0;  // in force when the idle time began; the client may not know a shorter one yet
 };
 
+Server::Server(Callbacks callbacks, std::shared_ptr<ConnectionBudget> budget, ListenerGroup group)
+    : callbacks_(std::move(callbacks)), budget_(std::move(budget)), group_(group) {
+  if (budget_) listener_.set_budget(*budget_, group_);
+}
+
 Server::~Server() {
   for (std::pair<Connection* const, std::shared_ptr<Connection>>& item : connections_) item.second->tcp->close();
 }
@@ -56,8 +77,11 @@
   conn->phase_started_at = now();
   conn->idle_timeout = limits_.idle_timeout;
   connections_.emplace(conn, connection);
+  conn->tcp->set_read_size(head_read_bytes);
+  if (ConnectionAccount* const account = conn->tcp->account()) account->give_way = [conn] { give_way(*conn); };
   conn->parser.callbacks.head = [conn](Head& head) {
-    conn->request.head = head;
+    conn->head_bytes = conn->parser.received_head_bytes();
+    conn->request.head = std::move(head);
     return true;
   };
   conn->parser.callbacks.body = [conn](std::string_view bytes) { conn->request.body.append(bytes); };
@@ -75,7 +99,10 @@
                                   connections_.find(conn);
                               if (position != connections_.end()) disconnect(*conn);
                             },
-                            nullptr});
+                            [this, conn] {
+                              if (conn->awaits_reader) continue_reading(*conn);
+                              if (conn->has_request && callbacks_.drained) callbacks_.drained(conn->request.id);
+                            }});
 }
 
 void Server::disconnect(Connection& conn) {
@@ -92,18 +119,41 @@
   log_event(Event::call_rejected, std::to_string(status) + " to " + conn.tcp->peer_ip());
   Head head;
   head.status = status;
-  conn.tcp->write(serialize_response_head(head, 0, true));
-  close_after_flush(conn);
+  if (status == 503) head = unavailable_head();
+  std::string const body = callbacks_.rejection_body ? callbacks_.rejection_body(status) : "";
+  if (!body.empty()) head.fields.emplace_back("Content-Type", "application/json");
+  conn.tcp->write(serialize_response_head(head, static_cast<std::int64_t>(body.size()), true) + body);
+  close_after_flush(conn, true);
 }
 
-void Server::close_after_flush(Connection& conn) {
+// Frees what the connection holds, for another one that needs the room.
+void Server::give_way(Connection& conn) {
+  bool const receiving = !conn.has_request && !conn.parser.idle();
+  conn.read_ahead = std::string();
+  if (!conn.has_request) {
+    conn.request = Request();
+    conn.parser.start_next_message();
+  }
+  conn.tcp->abandon(receiving ? serialize_response_head(unavailable_head(), 0, true) : "");
+}
+
+void Server::close_after_flush(Connection& conn, bool discards_input) {
   std::shared_ptr<Connection> const owner = connections_[&conn];
   connections_.erase(&conn);
+  if (ConnectionAccount* const account = owner->tcp->account()) {
+    account->unpin_request();
+    account->hold_request(0);
+    account->hold_read_ahead(0, now());
+    account->give_way = [tcp = owner->tcp.get()] { tcp->abandon(); };
+  }
   owner->tcp->set_callbacks(
       {nullptr, nullptr,
        [peer = owner->tcp->peer_ip()](TcpConnection::CloseReason reason) { log_lost_response(peer, reason); },
        nullptr});
-  owner->tcp->close_after_flush();
+  if (discards_input)
+    owner->tcp->close_after_discarding();
+  else
+    owner->tcp->close_after_flush();
   std::erase_if(flushing_, [](std::weak_ptr<TcpConnection> const& item) { return item.expired(); });
   if (owner->tcp->open()) flushing_.push_back(owner->tcp);
 }
@@ -112,17 +162,41 @@
   std::size_t out = 0;
   for (std::weak_ptr<TcpConnection> const& item : flushing_) {
     std::shared_ptr<TcpConnection> const tcp = item.lock();
-    if (tcp && tcp->open()) ++out;
+    if (tcp && tcp->buffered_bytes() > 0) ++out;
   }
   return out;
 }
 
-void Server::on_data(Connection& conn, std::string_view bytes) {
-  if (conn.has_request || conn.parse_scheduled) {
-    conn.read_ahead.append(bytes);
-    if (conn.read_ahead.size() > max_read_ahead_bytes) conn.tcp->pause_reading(true);
-    return;
+// Reports the memory of the request to the account. False if there is no room for it.
+bool Server::hold_request(Connection const& conn) const {
+  ConnectionAccount* const account = conn.tcp->account();
+  if (account == nullptr) return true;
+  std::size_t const body = conn.request.body.size();
+  // A small body is copied into the request to the worker, a large one is shared with it.
+  std::size_t const copies = body <= max_copied_body_bytes ? 2 : 1;
+  std::int64_t const announced = conn.request.head.content_length;
+  if (announced > 0 && static_cast<std::size_t>(announced) > budget_->max_bytes(group_)) return false;
+  return account->hold_request(conn.head_bytes + conn.parser.held_head_bytes() + body * copies);
+}
+
+// While reading is paused, the kernel may receive a whole buffer.
+bool Server::hold_read_ahead(Connection const& conn) {
+  ConnectionAccount* const account = conn.tcp->account();
+  std::size_t const in_kernel = conn.reading_paused ? counted_receive_buffer_bytes : 0;
+  return account == nullptr || account->hold_read_ahead(conn.read_ahead.size() + in_kernel, now());
+}
+
+void Server::hold_back(Connection& conn, std::string_view bytes) {
+  conn.read_ahead.append(bytes);
+  if (conn.read_ahead.size() >= max_read_ahead_bytes && !conn.reading_paused) {
+    conn.reading_paused = true;
+    conn.tcp->pause_reading(true);
   }
+  if (!hold_read_ahead(conn)) give_way(conn);
+}
+
+void Server::on_data(Connection& conn, std::string_view bytes) {
+  if (conn.has_request || conn.parse_scheduled || conn.awaits_reader) return hold_back(conn, bytes);
   std::string combined;
   if (!conn.read_ahead.empty()) {
     combined = std::move(conn.read_ahead);
@@ -131,8 +205,14 @@
     bytes = combined;
   }
   if (bytes.empty()) return;
+  if (receive(conn, bytes)) deliver(conn);
+}
+
+// Parses bytes of the next request; returns whether it is complete. May close the connection.
+bool Server::receive(Connection& conn, std::string_view bytes) {
   if (conn.parser.idle() && !conn.parser.complete()) {
     conn.phase_started_at = now();
+    if (conn.tcp->account() != nullptr) conn.tcp->account()->begin_progress(conn.phase_started_at);
     conn.request.arrived_at = conn.phase_started_at;
     conn.parser.set_limits(limits_.max_head_bytes, limits_.max_body_bytes);
   }
@@ -140,15 +220,27 @@
   if (conn.parser.error() != HttpParser::Error::none) {
     switch (conn.parser.error()) {
       case HttpParser::Error::head_too_large:
-        return reject(conn, 431);
+        reject(conn, 431);
+        return false;
       case HttpParser::Error::body_too_large:
-        return reject(conn, 413);
+        reject(conn, 413);
+        return false;
       default:
-        return reject(conn, 400);
+        reject(conn, 400);
+        return false;
     }
   }
-  if (!conn.parser.complete()) return;
-  conn.read_ahead.assign(bytes.substr(consumed));
+  if (conn.parser.complete()) conn.read_ahead.assign(bytes.substr(consumed));
+  conn.tcp->set_read_size(conn.parser.in_body() ? body_read_bytes : head_read_bytes);
+  if (hold_request(conn) && hold_read_ahead(conn)) return conn.parser.complete();
+  reject(conn, 503);
+  return false;
+}
+
+// Delivers a request that was received completely.
+void Server::deliver(Connection& conn) {
+  if (conn.tcp->account() != nullptr && !conn.tcp->account()->pin_request()) return reject(conn, 503);
+  conn.tcp->set_read_size(max_read_ahead_bytes);
   conn.has_request = true;
   conn.response_started = false;
   conn.chunked = false;
@@ -220,30 +312,65 @@
   conn.has_request = false;
   conn.phase_started_at = now();
   conn.idle_timeout = limits_.idle_timeout;
+  conn.head_bytes = 0;
+  if (ConnectionAccount* const account = conn.tcp->account()) {
+    account->unpin_request();
+    account->hold_request(0);
+    account->begin_progress(conn.phase_started_at);
+  }
   // A response whose head was sent before close_after_responses() did not announce "Connection: close", so its client
   // would send the next request at once; a request received after listening stopped may outlast the process.
   if (conn.close_after_response || (listening_stopped_ && conn.read_ahead.empty())) return close_after_flush(conn);
+  conn.awaits_reader = conn.tcp->buffered_bytes() > max_unread_answer_bytes;
+  if (!conn.awaits_reader) return continue_reading(conn);
+  conn.reading_paused = true;
+  conn.tcp->pause_reading(true);
+  if (!hold_read_ahead(conn)) give_way(conn);
+}
+
+void Server::continue_reading(Connection& conn) {
+  conn.awaits_reader = false;
+  conn.reading_paused = false;
+  conn.phase_started_at = now();
+  conn.tcp->set_read_size(head_read_bytes);
   conn.tcp->pause_reading(false);
-  if (!conn.read_ahead.empty()) {
-    // The next request is parsed in a later iteration of the main loop, not within the call that ended the response.
-    struct DeferredParse {
-      Server* self;
-      std::weak_ptr<Connection> conn;
-    };
-    conn.parse_scheduled = true;
-    g_idle_add_full(
-        G_PRIORITY_DEFAULT,
-        [](gpointer data) -> gboolean {
-          DeferredParse const& deferred = *static_cast<DeferredParse*>(data);
-          std::shared_ptr<Connection> const conn = deferred.conn.lock();
-          if (conn && conn->tcp->open()) {
-            conn->parse_scheduled = false;
-            if (!conn->has_request) deferred.self->on_data(*conn, "");
-          }
-          return G_SOURCE_REMOVE;
-        },
-        new DeferredParse{this, owner}, [](gpointer data) { delete static_cast<DeferredParse*>(data); });
-  }
+  hold_read_ahead(conn);
+  if (!conn.read_ahead.empty()) schedule_parse(conn);
+}
+
+// Parses the next request in a later iteration of the main loop, not within the call that ended the response.
+void Server::schedule_parse(Connection& conn) {
+  struct DeferredParse {
+    Server* self;
+    std::weak_ptr<Connection> conn;
+  };
+  conn.parse_scheduled = true;
+  g_idle_add_full(
+      G_PRIORITY_DEFAULT,
+      [](gpointer data) -> gboolean {
+        DeferredParse const& deferred = *static_cast<DeferredParse*>(data);
+        std::shared_ptr<Connection> const conn = deferred.conn.lock();
+        if (conn && conn->tcp->open()) {
+          conn->parse_scheduled = false;
+          if (!conn->has_request) deferred.self->on_data(*conn, "");
+        }
+        return G_SOURCE_REMOVE;
+      },
+      new DeferredParse{this, connections_[&conn]}, [](gpointer data) { delete static_cast<DeferredParse*>(data); });
+}
+
+bool Server::response_begun(std::uint64_t id) const {
+  Connection const* const conn = connection_of(id);
+  return conn == nullptr || conn->response_started;
+}
+
+void Server::cut_connection(std::uint64_t id) {
+  if (Connection* const conn = connection_of(id)) give_way(*conn);
+}
+
+void Server::abort_stalled_responses(Micros now, Micros timeout) {
+  for (std::pair<std::uint64_t const, Connection*> const& item : connections_by_request_)
+    if (item.second->tcp->write_stalled_for(now) > timeout) give_way(*item.second);
 }
 
 bool Server::closed_by_client(std::uint64_t id) const {
@@ -272,6 +399,10 @@
     Connection const& conn = *item.second;
     if (conn.has_request) continue;
     Micros const span = now - conn.phase_started_at;
+    if (conn.awaits_reader) {
+      if (conn.tcp->write_stalled_for(now) > unread_answer_timeout) idle.push_back(item.first);
+      continue;
+    }
     if (conn.parser.idle() && conn.read_ahead.empty()) {
       if (span > std::max(limits_.idle_timeout, conn.idle_timeout)) idle.push_back(item.first);
     } else if (span > (conn.parser.in_body() ? limits_.body_timeout : limits_.head_timeout)) {
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -5,11 +5,15 @@
 #include <string>
 #include <vector>
 
+#include "net/connection_budget.h"
 #include "net/http.h"
 #include "net/tcp_connection.h"
 
 namespace pipit {
 
+// Bodies up to this size are copied into the request to a worker; larger ones are shared with it.
+constexpr std::size_t max_copied_body_bytes = 64u << 10;
+
 // Serves the connections of one listening address on the main loop. It delivers the requests of a connection one at a
 // time: pipelined requests wait until the response to the one before them has ended. The members that send responses
 // ignore the id of a request that has ended or whose client has disconnected.
@@ -22,8 +26,11 @@
     Micros arrived_at = 0;  // loop_time() when its first byte was read
   };
   struct Callbacks {
-    std::function<void(Request&&)> request;           // a complete request
-    std::function<void(std::uint64_t)> disconnected;  // the client disconnected before its response ended
+    std::function<void(Request&&)> request;                         // a complete request
+    std::function<void(std::uint64_t)> disconnected;                // the client disconnected before its response ended
+    std::function<std::string(unsigned)> rejection_body = nullptr;  // body of the server's own answer with this status
+    // The client has accepted all that was written of a response that has not ended.
+    std::function<void(std::uint64_t)> drained = nullptr;
   };
   // Sizes in bytes, times in microseconds.
   struct Limits {
@@ -33,7 +40,10 @@
     Micros body_timeout = seconds(20);  // from the first byte of a request to its end, once the head is complete
     Micros idle_timeout = seconds(60);  // of a connection between requests
   };
-  explicit Server(Callbacks callbacks) : callbacks_(std::move(callbacks)) {}
+  // With a budget, the connections of listen() count in it, and give way to others when their group needs room
+  // (docs/limits.md).
+  explicit Server(Callbacks callbacks, std::shared_ptr<ConnectionBudget> budget = nullptr,
+                  ListenerGroup group = ListenerGroup::clients);
   ~Server();
 
   // Listens at "IP:port". Fails with bad_settings if the address is malformed or cannot be bound.
@@ -56,6 +66,8 @@
 
   // Sends a complete response.
   void respond(std::uint64_t id, Head const& head, std::string_view body);
+  // True if the head of the response was sent, or if the request has ended.
+  bool response_begun(std::uint64_t id) const;
   // Begins a streamed response. 'length' is the size of its body in bytes, or -1 if that is unknown.
   void begin_response(std::uint64_t id, Head const& head, std::int64_t length);
   // Sends the next bytes of the body at once. Bytes beyond the announced length are discarded.
@@ -65,6 +77,10 @@
   // Closes the connection without completing the response, so that the client sees a truncated one, or no response if
   // its head was not sent.
   void abort_response(std::uint64_t id);
+  // Ends the connection at once, with all that is buffered for it; disconnected() is called later.
+  void cut_connection(std::uint64_t id);
+  // Cuts the connections whose clients have accepted no byte of a response for longer than 'timeout'.
+  void abort_stalled_responses(Micros now, Micros timeout);
   // True if the client has closed its connection, even if the server has not read that yet, or if the request has
   // ended.
   bool closed_by_client(std::uint64_t id) const;
@@ -90,14 +106,24 @@
   struct Connection;
   void add_connection(std::shared_ptr<TcpConnection> tcp);
   void on_data(Connection& conn, std::string_view bytes);
+  bool receive(Connection& conn, std::string_view bytes);
+  void deliver(Connection& conn);
+  void hold_back(Connection& conn, std::string_view bytes);
+  bool hold_request(Connection const& conn) const;
+  static bool hold_read_ahead(Connection const& conn);
+  static void give_way(Connection& conn);
+  void continue_reading(Connection& conn);
+  void schedule_parse(Connection& conn);
   void reject(Connection& conn, unsigned status);
   void on_response_end(Connection& conn);
   void disconnect(Connection& conn);
   Connection* connection_of(std::uint64_t id) const;
   // Removes a connection from the table and closes it once its buffered bytes are flushed.
-  void close_after_flush(Connection& conn);
+  void close_after_flush(Connection& conn, bool discards_input = false);
 
   Callbacks callbacks_;
+  std::shared_ptr<ConnectionBudget> const budget_;
+  ListenerGroup const group_;
   Limits limits_;
   Listener listener_;
   bool close_after_responses_ = false;
--- a/src/net/tcp_connection.cc
+++ b/src/net/tcp_connection.cc
@@ -23,7 +23,8 @@
 constexpr int max_reads_per_event = 4;
 constexpr int max_accepts_per_event = 32;
 constexpr int listen_backlog = 512;
-constexpr unsigned accept_pause_ms = 100;  // pause of a listener when no file descriptor is left
+constexpr unsigned discard_timeout_ms = 2000;  // time for the peer to end its side after close_after_discarding()
+constexpr unsigned accept_pause_ms = 100;      // pause of a listener when no file descriptor is left
 
 bool parse_ipv4_address(std::string const& text, sockaddr_in& out) {
   std::string host;
@@ -119,6 +120,8 @@
 
 void TcpConnection::close(bool reset) {
   std::shared_ptr<TcpConnection> const keep = std::move(self_while_flushing_);
+  account_.reset();
+  shared_.reset();
   if (timer_ != 0) g_source_remove(timer_);
   timer_ = 0;
   if (source_ != nullptr) {
@@ -162,6 +165,7 @@
 
 void TcpConnection::on_socket_event(unsigned conditions) {
   if (fd_ < 0) return;
+  if (abandoned_) return close_with(CloseReason::reset);
   if (state_ == State::connecting) {
     int error = 0;
     socklen_t size = sizeof error;
@@ -180,6 +184,7 @@
   }
   if ((conditions & G_IO_OUT) != 0) flush();
   if (fd_ < 0 || (conditions & (G_IO_IN | G_IO_HUP | G_IO_ERR)) == 0) return;
+  if (discards_input_) return discard_input();
   // G_IO_HUP or G_IO_ERR while reading is paused: both directions are closed, so unread input no longer matters.
   if (paused_) return close_with(CloseReason::reset);
   read_available();
@@ -189,14 +194,16 @@
   static char buffer[read_buffer_size];
   // Reads until the socket is empty, but only a few times, since other sources share the loop.
   for (int i = 0; i < max_reads_per_event && fd_ >= 0 && !paused_; ++i) {
-    ssize_t const n = ::recv(fd_, buffer, sizeof buffer, 0);
+    std::size_t const size = read_size_ == 0 ? sizeof buffer : read_size_;
+    ssize_t const n = ::recv(fd_, buffer, size, 0);
     if (n < 0 && errno == EINTR) continue;
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
     if (n < 0) return close_with(CloseReason::reset);
     if (n == 0) return close_with(write_failed_ ? CloseReason::reset : CloseReason::closed);
+    if (account_) account_->count_progress(static_cast<std::size_t>(n), loop_time());
     std::string const received(buffer, static_cast<std::size_t>(n));
     if (callbacks_.data) callbacks_.data(received);
-    if (static_cast<std::size_t>(n) < sizeof buffer) return;
+    if (abandoned_ || static_cast<std::size_t>(n) < size) return;
   }
 }
 
@@ -239,23 +246,93 @@
     }
   }
   if (bytes.empty()) return;
-  if (buffered_bytes() == 0) blocked_since_ = loop_time();
+  begin_backlog();
+  if (shared_bytes_left() > 0) write_buffer_.append(*shared_, shared_written_);
+  shared_.reset();
   write_buffer_.append(bytes);
   update_watched_events();
+  count_unsent(0);
+}
+
+void TcpConnection::write_shared(std::shared_ptr<std::string const> const& bytes) {
+  if (fd_ < 0 || write_failed_ || bytes->empty()) return;
+  if (shared_bytes_left() > 0) return write(*bytes);
+  begin_backlog();
+  shared_ = bytes;
+  shared_written_ = 0;
+  // Sends now what the kernel accepts; a failed write is noticed with the next event of the socket.
+  if (state_ == State::connected) send_buffered();
+  update_watched_events();
+  count_unsent(0);
+}
+
+void TcpConnection::begin_backlog() {
+  if (buffered_bytes() > 0) return;
+  blocked_since_ = accepted_at_ = loop_time();
+}
+
+// Reports the unsent bytes to the account, after the peer has accepted some.
+void TcpConnection::count_unsent(std::size_t accepted) {
+  if (!account_) return;
+  Micros const now = loop_time();
+  if (accepted > 0) account_->count_progress(accepted, now);
+  if (!account_->hold_unsent(buffered_bytes(), now)) abandon();
+}
+
+void TcpConnection::abandon(std::string_view last_bytes) {
+  if (fd_ < 0 || abandoned_) return;
+  if (!last_bytes.empty() && buffered_bytes() == 0) ::send(fd_, last_bytes.data(), last_bytes.size(), MSG_NOSIGNAL);
+  abandoned_ = write_failed_ = true;
+  write_buffer_ = std::string();
+  written_bytes_ = 0;
+  shared_.reset();
+  account_.reset();
+  ::shutdown(fd_, SHUT_RDWR);
+  set_close_timer(0);
+}
+
+void TcpConnection::set_close_timer(unsigned timeout_ms) {
+  if (timer_ != 0) g_source_remove(timer_);
+  timer_ = g_timeout_add(
+      timeout_ms,
+      [](gpointer self) -> gboolean {
+        std::shared_ptr<TcpConnection> const connection = static_cast<TcpConnection*>(self)->shared_from_this();
+        connection->timer_ = 0;
+        connection->close_with(CloseReason::reset);
+        return G_SOURCE_REMOVE;
+      },
+      this);
+}
+
+void TcpConnection::set_read_size(std::size_t bytes) { read_size_ = std::min(bytes, read_buffer_size); }
+
+// Sends the next buffered bytes; returns what send() returned.
+ssize_t TcpConnection::send_buffered() {
+  bool const from_buffer = write_buffer_.size() > written_bytes_;
+  char const* const data = from_buffer ? write_buffer_.data() + written_bytes_ : shared_->data() + shared_written_;
+  std::size_t const size = from_buffer ? write_buffer_.size() - written_bytes_ : shared_bytes_left();
+  ssize_t const n = ::send(fd_, data, size, MSG_NOSIGNAL);
+  if (n <= 0) return n;
+  (from_buffer ? written_bytes_ : shared_written_) += static_cast<std::size_t>(n);
+  accepted_at_ = loop_time();
+  return n;
 }
 
 void TcpConnection::flush() {
+  std::size_t accepted = 0;
   while (buffered_bytes() > 0) {
-    ssize_t const n = ::send(fd_, write_buffer_.data() + written_bytes_, buffered_bytes(), MSG_NOSIGNAL);
+    ssize_t const n = send_buffered();
     if (n < 0 && errno == EINTR) continue;
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
     if (n <= 0) return on_write_error();
-    written_bytes_ += static_cast<std::size_t>(n);
+    accepted += static_cast<std::size_t>(n);
   }
+  count_unsent(accepted);
   if (buffered_bytes() == 0) {
     write_buffer_.clear();
     written_bytes_ = 0;
-    if (close_after_flush_) return close_with(CloseReason::closed);
+    shared_.reset();
+    if (close_after_flush_) return finish_flush();
     if (callbacks_.drained) callbacks_.drained();
     if (fd_ < 0) return;
   } else if (written_bytes_ > read_buffer_size) {
@@ -274,22 +351,42 @@
 
 void TcpConnection::close_after_flush() {
   if (fd_ < 0) return;
+  if (abandoned_) {
+    self_while_flushing_ = shared_from_this();
+    return;
+  }
   close_after_flush_ = true;
-  if (buffered_bytes() == 0) return close_with(CloseReason::closed);
+  if (buffered_bytes() == 0 && !discards_input_) return close_with(CloseReason::closed);
   if (self_while_flushing_) return;
-  // Further input is neither read nor delivered.
+  // Further input is not delivered.
   callbacks_.data = nullptr;
   self_while_flushing_ = shared_from_this();
-  if (timer_ != 0) g_source_remove(timer_);
-  timer_ = g_timeout_add(
-      flush_timeout_ms,
-      [](gpointer self) -> gboolean {
-        std::shared_ptr<TcpConnection> const connection = static_cast<TcpConnection*>(self)->self_while_flushing_;
-        connection->timer_ = 0;
-        connection->close_with(CloseReason::reset);
-        return G_SOURCE_REMOVE;
-      },
-      this);
+  set_close_timer(flush_timeout_ms);
+  pause_reading(!discards_input_);
+  if (buffered_bytes() == 0) finish_flush();
+}
+
+void TcpConnection::close_after_discarding() {
+  discards_input_ = true;
+  close_after_flush();
+}
+
+// All bytes were sent on a connection that is being closed.
+void TcpConnection::finish_flush() {
+  if (!discards_input_) return close_with(CloseReason::closed);
+  ::shutdown(fd_, SHUT_WR);
+  set_close_timer(discard_timeout_ms);
+  update_watched_events();
+}
+
+void TcpConnection::discard_input() {
+  static char buffer[read_buffer_size];
+  ssize_t const n = ::recv(fd_, buffer, sizeof buffer, 0);
+  if (n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))) return;
+  if (n < 0) return close_with(CloseReason::reset);
+  if (buffered_bytes() == 0) return close_with(CloseReason::closed);
+  // The peer has sent everything, and still reads.
+  discards_input_ = false;
   pause_reading(true);
 }
 
@@ -301,6 +398,9 @@
   fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   int const one = 1;
   setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  // Accepted connections inherit the size.
+  int const receive_buffer = counted_receive_buffer_bytes;
+  if (budget_ != nullptr) setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
   if (fd_ < 0 || ::bind(fd_, reinterpret_cast<sockaddr*>(&local), sizeof local) != 0 ||
       ::listen(fd_, listen_backlog) != 0) {
     std::string const reason = std::strerror(errno);
@@ -344,8 +444,20 @@
       return pause_accepting();
     if (accepted_fd < 0) return;
     descriptor_shortage_logged_ = false;
-    on_accept_(TcpConnection::adopt(accepted_fd));
+    accept_connection(accepted_fd);
+  }
+}
+
+void Listener::accept_connection(int accepted_fd) {
+  if (budget_ == nullptr) return on_accept_(TcpConnection::adopt(accepted_fd));
+  std::unique_ptr<ConnectionAccount> account = budget_->open_account(group_, loop_time());
+  if (!account) {
+    ::close(accepted_fd);
+    return;
   }
+  std::shared_ptr<TcpConnection> const connection = TcpConnection::adopt(accepted_fd);
+  connection->set_account(std::move(account));
+  on_accept_(connection);
 }
 
 void Listener::close() {
--- a/src/net/upstream_pool.cc
+++ b/src/net/upstream_pool.cc
@@ -33,14 +33,15 @@
   HttpParser parser{false};
   std::string peer;
   std::string address;
-  std::uint64_t request_id = 0;    // 0 while the connection is idle
-  std::string request;             // serialized, until it is sent
-  bool request_started = false;    // bytes of the current request may have been sent
-  int requests_sent = 0;           // over the lifetime of the connection
-  bool is_head_request = false;    // the response has no body
-  bool response_matches = false;   // the response being parsed belongs to the request
-  bool response_rejected = false;  // the response being parsed belongs to no request
-  int skipped_responses = 0;       // to other requests, since the current one was sent
+  std::uint64_t request_id = 0;             // 0 while the connection is idle
+  std::string request;                      // serialized, until it is sent
+  std::shared_ptr<std::string const> body;  // sent after it; null if the request contains it
+  bool request_started = false;             // bytes of the current request may have been sent
+  int requests_sent = 0;                    // over the lifetime of the connection
+  bool is_head_request = false;             // the response has no body
+  bool response_matches = false;            // the response being parsed belongs to the request
+  bool response_rejected = false;           // the response being parsed belongs to no request
+  int skipped_responses = 0;                // to other requests, since the current one was sent
   bool reusable = true;
   Micros max_idle_time = 0;
   Micros idle_since = 0;
@@ -66,7 +67,7 @@
 }
 
 void UpstreamPool::start_request(std::uint64_t id, std::string const& peer, std::string const& address,
-                                 std::string request, Micros connect_timeout) {
+                                 std::string request, Micros connect_timeout, std::shared_ptr<std::string const> body) {
   std::map<std::string, std::vector<Connection*>>::iterator const list = idle_by_peer_.find(peer);
   while (list != idle_by_peer_.end() && !list->second.empty()) {
     Connection* const conn = list->second.back();
@@ -82,6 +83,7 @@
     ++reused;
     conn->request_id = id;
     conn->request = std::move(request);
+    conn->body = std::move(body);
     connections_by_request_[id] = conn;
     send(*conn);
     return;
@@ -93,6 +95,7 @@
   conn->address = address;
   conn->request_id = id;
   conn->request = std::move(request);
+  conn->body = std::move(body);
   conn->tcp = dialer_(address, source_ip_, connect_timeout);
   conn->parser.callbacks.head = [this, conn](Head& head) {
     if (conn->request_id == 0) return true;
@@ -135,9 +138,11 @@
   conn.is_head_request = conn.request.starts_with("HEAD ");
   std::string const bytes = std::move(conn.request);
   conn.request.clear();
+  std::shared_ptr<std::string const> const body = std::move(conn.body);
   // Reported before the kernel accepts the first byte: from here on the worker may have executed the request.
   callbacks_.request_sent(conn.request_id);
   conn.tcp->write(bytes);
+  if (body) conn.tcp->write_shared(body);
 }
 
 void UpstreamPool::on_data(Connection& conn, std::string_view bytes) {
@@ -177,6 +182,7 @@
   connections_by_request_.erase(id);
   conn.request_id = 0;
   conn.request_started = false;
+  conn.tcp->pause_reading(false);
   // If the response ended before the whole request was sent, the next request would be queued behind the rest of it.
   bool const all_sent = conn.tcp->buffered_bytes() == 0;
   if (conn.reusable && conn.max_idle_time > 0 && all_sent) {
@@ -208,6 +214,11 @@
                                                          : "the worker closed the connection");
 }
 
+void UpstreamPool::pause_response(std::uint64_t id, bool paused) {
+  std::map<std::uint64_t, Connection*>::iterator const position = connections_by_request_.find(id);
+  if (position != connections_by_request_.end()) position->second->tcp->pause_reading(paused);
+}
+
 void UpstreamPool::cancel(std::uint64_t id) {
   std::map<std::uint64_t, Connection*>::iterator const position = connections_by_request_.find(id);
   if (position == connections_by_request_.end()) return;
--- a/src/net/upstream_pool.h
+++ b/src/net/upstream_pool.h
@@ -44,11 +44,14 @@
                                                               Micros connect_timeout)>;
   void set_dialer(Dialer dialer) { dialer_ = std::move(dialer); }
 
-  // Sends the serialized 'request' to 'address' ("IP:port"). 'peer' names the worker process at that address: an idle
-  // connection is reused only for the same peer and address. 'connect_timeout' in microseconds limits only the
-  // connecting.
+  // Sends the serialized 'request', followed by 'body' if that is not null, to 'address' ("IP:port"). 'peer' names the
+  // worker process at that address: an idle connection is reused only for the same peer and address. 'connect_timeout'
+  // in microseconds limits only the connecting.
   void start_request(std::uint64_t id, std::string const& peer, std::string const& address, std::string request,
-                     Micros connect_timeout);
+                     Micros connect_timeout, std::shared_ptr<std::string const> body = nullptr);
+  // Stops or resumes reading the response to a request, so that the worker waits for a slow client. Unknown ids are
+  // ignored.
+  void pause_response(std::uint64_t id, bool paused);
   // Cancels a request without a further callback. Its connection is reset, so that request bytes still buffered in the
   // kernel do not reach the worker later. Unknown ids are ignored.
   void cancel(std::uint64_t id);
--- a/src/server/node_server.cc
+++ b/src/server/node_server.cc
@@ -17,7 +17,8 @@
 constexpr Micros delay_span = seconds(1);
 // §12.6: time that load balancers and clients may need to notice that this node is no longer ready.
 constexpr Micros drain_notice = millis(2600);
-constexpr Micros exit_margin = millis(700);  // the process ends this long before the end of the grace
+constexpr std::size_t max_monitoring_body_bytes = 4096;  // these listeners answer only GET
+constexpr Micros exit_margin = millis(700);              // the process ends this long before the end of the grace
 }  // namespace
 
 NodeServer::NodeServer(NodeServerOptions options)
@@ -79,6 +80,7 @@
     apply_effects(out);
     return good;
   };
+  budget_ = std::make_shared<ConnectionBudget>(options_.limits);
   connections_ = std::make_unique<Connections>(std::move(mesh_callbacks));
 
   RequestProxy::Callbacks proxy_callbacks;
@@ -94,17 +96,20 @@
   };
   proxy_callbacks.disconnected = [this](std::uint64_t id) { return node_->dispatcher.on_client_disconnect(id, now()); };
   proxy_ = std::make_unique<RequestProxy>(node_->dispatcher, options_.header_names, options_.own_host,
-                                          std::move(proxy_callbacks));
-  control_server_ = std::make_unique<Server>(Server::Callbacks{
-      [this](Server::Request&& call) { handle_control_call(std::move(call)); }, [](std::uint64_t) {}});
+                                          std::move(proxy_callbacks), budget_);
+  control_server_ =
+      make_server([this](Server::Request&& call) { handle_control_call(std::move(call)); }, ListenerGroup::control);
   Server::Limits control_limits;
   control_limits.max_body_bytes = options_.max_control_body_bytes;
   control_server_->set_limits(control_limits);
-  readiness_server_ = std::make_unique<Server>(Server::Callbacks{
-      [this](Server::Request&& call) { handle_readiness_call(std::move(call)); }, [](std::uint64_t) {}});
-
-  metrics_server_ = std::make_unique<Server>(Server::Callbacks{
-      [this](Server::Request&& call) { handle_metrics_call(std::move(call)); }, [](std::uint64_t) {}});
+  readiness_server_ = make_server([this](Server::Request&& call) { handle_readiness_call(std::move(call)); },
+                                  ListenerGroup::monitoring);
+  metrics_server_ =
+      make_server([this](Server::Request&& call) { handle_metrics_call(std::move(call)); }, ListenerGroup::monitoring);
+  Server::Limits monitoring_limits;
+  monitoring_limits.max_body_bytes = max_monitoring_body_bytes;
+  readiness_server_->set_limits(monitoring_limits);
+  metrics_server_->set_limits(monitoring_limits);
   if (ring)
     disk_ = std::make_unique<DiskTask>(
         std::move(posix), std::move(ring),
@@ -126,6 +131,10 @@
   return done;
 }
 
+std::unique_ptr<Server> NodeServer::make_server(std::function<void(Server::Request&&)> handle, ListenerGroup group) {
+  return std::make_unique<Server>(Server::Callbacks{std::move(handle), [](std::uint64_t) {}}, budget_, group);
+}
+
 // Performs the I/O that the node core requested.
 void NodeServer::apply_effects(NodeEffects& out) {
   if (out.record_to_sync && disk_) disk_->save(std::move(*out.record_to_sync));
--- a/src/server/node_server.h
+++ b/src/server/node_server.h
@@ -32,6 +32,7 @@
   std::string own_host;  // local IP address of outgoing connections
   HeaderNames header_names;
   std::size_t max_control_body_bytes = 4u << 20;
+  ProcessLimits limits;                // of the process, shared by all listeners
   Micros shutdown_grace = seconds(8);  // time from the stop signal to the end of the process
 };
 
@@ -76,6 +77,7 @@
   // Starts a graceful shutdown: requests in flight are finished first, within the shutdown grace.
   void begin_shutdown();
   // Answers a call at the control address with a JSON body.
+  std::unique_ptr<Server> make_server(std::function<void(Server::Request&&)> handle, ListenerGroup group);
   void answer(std::uint64_t call, unsigned status, std::string const& body,
               std::vector<std::pair<std::string, std::string>> const& fields = {});
   // Counts and logs the answer to an operator's call; 'call' describes the call in the log, 'timing' where its time
@@ -102,6 +104,7 @@
   NodeServerOptions const options_;
   GMainLoop* loop_;
   std::unique_ptr<Node> node_;
+  std::shared_ptr<ConnectionBudget> budget_;
   std::unique_ptr<Connections> connections_;
   FrameTraffic traffic_;
   std::unique_ptr<RequestProxy> proxy_;
--- a/src/server/node_server_status.cc
+++ b/src/server/node_server_status.cc
@@ -178,6 +178,7 @@
   text.gauge("pipit_wires", node_->mesh.open_connections());
   text.gauge("pipit_mesh_backlog_bytes", connections_->backlog_bytes());
   traffic_.write_metrics(text);
+  write_metrics(*budget_, text);
   text.gauges("pipit_peers", "state", peers_by_state(*node_));
   text.gauges("pipit_workers", "standing", workers_by_state(*node_));
   text.gauge("pipit_configuration_confirmed_ms_ago", age_ms(node_->key_lease().confirmed_at(), now()));
--- a/src/server/request_proxy.cc
+++ b/src/server/request_proxy.cc
@@ -15,6 +15,9 @@
 
 namespace {
 constexpr std::size_t max_failed_body_bytes = 1u << 20;
+// Above this, the worker's answer is not read on before the client has accepted what was written. Streams are read on,
+// because a worker of whose stream nothing is read would count as silent; they are limited by the connection budget.
+constexpr std::size_t max_answer_backlog_bytes = 256u << 10;
 constexpr std::size_t max_event_end_bytes = 4;  // bytes of the two line breaks that end an event
 constexpr std::int64_t max_count = 100000000;   // limit of a received count of tokens, requests or milliseconds (28 h)
 Micros now() { return loop_time(); }
@@ -100,14 +103,17 @@
 }
 }  // namespace
 
-RequestProxy::RequestProxy(Dispatcher& dispatcher, HeaderNames header_names, std::string own_host, Callbacks callbacks)
+RequestProxy::RequestProxy(Dispatcher& dispatcher, HeaderNames header_names, std::string own_host, Callbacks callbacks,
+                           std::shared_ptr<ConnectionBudget> budget)
     : server({[this](Server::Request&& call) { handle_call(std::move(call)); },
               [this](std::uint64_t id) {
                 if (requests_.count(id) == 0) return;
                 upstream.cancel(id);
                 if (std::optional<FailedRequest> const failed = callbacks_.disconnected(id)) log_failure(*failed);
                 requests_.erase(id);
-              }}),
+              },
+              nullptr, [this](std::uint64_t id) { upstream.pause_response(id, false); }},
+             std::move(budget), ListenerGroup::clients),
       upstream(
           {[this](std::uint64_t id) {
              std::map<std::uint64_t, ProxiedRequest>::iterator const position = requests_.find(id);
@@ -160,7 +166,7 @@
   ProxiedRequest request;
   request.head = std::move(call.head);
   remove_hop_by_hop_fields(request.head, end_to_end_);
-  request.body = std::move(call.body);
+  request.body = std::make_shared<std::string const>(std::move(call.body));
   request.request_id = request.head.get(header_names_.request_id);
   request.last_event_id = info.last_event_id;
   std::uint64_t const id = call.id;
@@ -265,9 +271,11 @@
   head.set(header_names_.priority, std::to_string(std::clamp<std::int64_t>(attempt.rank, 0, 9)));
   if (attempt.keys_required) set_tenant(head, header_names_, attempt.tenant);
   if (request.resumed && !request.last_event_id.empty()) head.set(header_names_.last_event_id, request.last_event_id);
-  std::string bytes = serialize_request_head(head, static_cast<std::int64_t>(request.body.size()));
-  bytes += request.body;
-  upstream.start_request(attempt.request, attempt.instance, attempt.address, std::move(bytes), attempt.connect_timeout);
+  std::string bytes = serialize_request_head(head, static_cast<std::int64_t>(request.body->size()));
+  bool const copied = request.body->size() <= max_copied_body_bytes;
+  if (copied) bytes += *request.body;
+  upstream.start_request(attempt.request, attempt.instance, attempt.address, std::move(bytes), attempt.connect_timeout,
+                         copied ? nullptr : request.body);
 }
 
 UpstreamPool::ResponseOwner RequestProxy::on_head(std::uint64_t id, Head const& head, bool first) {
@@ -371,6 +379,8 @@
   }
   request.forwarded_bytes += bytes.size();
   server.write_body(id, bytes);
+  if (!request.streams && server.backlog_of(id, now()).bytes > max_answer_backlog_bytes)
+    upstream.pause_response(id, true);
 }
 
 void RequestProxy::on_body(std::uint64_t id, std::string_view bytes) {
--- a/src/server/request_proxy.h
+++ b/src/server/request_proxy.h
@@ -47,7 +47,8 @@
     // The client closed its connection before the answer was complete. Returns the failure to log, if any.
     std::function<std::optional<FailedRequest>(std::uint64_t)> disconnected;
   };
-  RequestProxy(Dispatcher& dispatcher, HeaderNames header_names, std::string own_host, Callbacks callbacks);
+  RequestProxy(Dispatcher& dispatcher, HeaderNames header_names, std::string own_host, Callbacks callbacks,
+               std::shared_ptr<ConnectionBudget> budget = nullptr);
 
   // 'address' is IP:port.
   Result<void> listen(std::string const& address) { return server.listen(address); }
@@ -66,16 +67,16 @@
 
  private:
   struct ProxiedRequest {
-    Head head;  // as forwarded to a worker
-    std::string body;
-    std::string request_id;       // as sent by the client
-    std::string instance;         // worker of the present attempt
-    bool streams = false;         // the route's answers are event streams
-    bool resumable = false;       // a broken stream may be resumed at another worker
-    bool resumed = false;         // the present attempt resumes a stream that the client has in part
-    bool declined = false;        // the worker reported that it did not run the present attempt
-    bool wrong_instance = false;  // the worker's address belongs to another instance now (status 421)
-    bool failed = false;          // the answer has an error status
+    Head head;                                // as forwarded to a worker
+    std::shared_ptr<std::string const> body;  // of the client; counted by its connection's account
+    std::string request_id;                   // as sent by the client
+    std::string instance;                     // worker of the present attempt
+    bool streams = false;                     // the route's answers are event streams
+    bool resumable = false;                   // a broken stream may be resumed at another worker
+    bool resumed = false;                     // the present attempt resumes a stream that the client has in part
+    bool declined = false;                    // the worker reported that it did not run the present attempt
+    bool wrong_instance = false;              // the worker's address belongs to another instance now (status 421)
+    bool failed = false;                      // the answer has an error status
     // The failed answer cannot be forwarded: it is too large, or its status implies "not executed", which the worker
     // did not state.
     bool withheld = false;
--- a/tests/process/child_process.cc
+++ b/testing/process/child_process.cc
@@ -1,4 +1,4 @@
-#include "tests/process/child_process.h"
+#include "testing/process/child_process.h"
 
 #include <fcntl.h>
 #include <signal.h>
--- a/tests/process/crowd.cc
+++ b/testing/process/crowd.cc
@@ -1,4 +1,4 @@
-#include "tests/process/crowd.h"
+#include "testing/process/crowd.h"
 
 #include <poll.h>
 #include <sys/socket.h>
@@ -9,7 +9,7 @@
 #include <cstdio>
 #include <cstdlib>
 
-#include "tests/process/http_call.h"
+#include "testing/process/http_call.h"
 
 namespace pipit::process_tests {
 
--- a/tests/process/http_call.cc
+++ b/testing/process/http_call.cc
@@ -1,4 +1,4 @@
-#include "tests/process/http_call.h"
+#include "testing/process/http_call.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/tests/process/stand_in_worker.cc
+++ b/testing/process/stand_in_worker.cc
@@ -1,4 +1,4 @@
-#include "tests/process/stand_in_worker.h"
+#include "testing/process/stand_in_worker.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -9,7 +9,7 @@
 #include <cstdlib>
 
 #include "base/ip.h"
-#include "tests/process/http_call.h"
+#include "testing/process/http_call.h"
 
 namespace pipit::process_tests {
 
--- a/tests/process/systems.cc
+++ b/testing/process/systems.cc
@@ -1,4 +1,4 @@
-#include "tests/process/systems.h"
+#include "testing/process/systems.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/process/systems.h
+++ b/testing/process/systems.h
@@ -3,9 +3,9 @@
 #include <memory>
 #include <string>
 
-#include "tests/process/child_process.h"
-#include "tests/process/http_call.h"
-#include "tests/process/stand_in_worker.h"
+#include "testing/process/child_process.h"
+#include "testing/process/http_call.h"
+#include "testing/process/stand_in_worker.h"
 
 namespace pipit::process_tests {
 
--- a/tests/process/hostile_clients.cc
+++ b/tests/process/hostile_clients.cc
@@ -5,8 +5,8 @@
 #include <atomic>
 #include <thread>
 
-#include "tests/process/crowd.h"
-#include "tests/process/systems.h"
+#include "testing/process/crowd.h"
+#include "testing/process/systems.h"
 
 namespace pipit::process_tests {
 
--- a/tests/request_proxy.cc
+++ b/tests/request_proxy.cc
@@ -53,6 +53,26 @@
   EXPECT_EQ(proxy.upstream.idle_connections("w"), 1u);
 }
 
+// A worker that is faster than the client waits: the node buffers a part of the answer only.
+TEST_F(RequestProxyTest, large_answer_waits_at_the_worker_for_a_slow_client) {
+  constexpr std::size_t length = 64u << 20;
+  add_worker("w");
+  send_request("POST", "/once/x");
+  ASSERT_EQ(worker_with_request(), "w");
+  client->link->pause_reading(true);
+  LoopbackStream& worker = connection_of("w");
+  worker.send("HTTP/1.1 200 OK\r\n" + attempt_id + "Content-Length: " + std::to_string(length) + "\r\n\r\n" +
+              std::string(length, 'x'));
+  ASSERT_TRUE(until([&] { return proxy.server.backlog_of(1, loop_time()).bytes > 0; }));
+  settle();
+  EXPECT_LT(proxy.server.backlog_of(1, loop_time()).bytes, std::size_t{1} << 20);
+  EXPECT_GT(worker.link->buffered_bytes(), length / 2);
+  client->link->pause_reading(false);
+  ASSERT_TRUE(until([&] { return client->received.size() > length; }));
+  ASSERT_TRUE(until([&] { return no_requests_in_flight(); }));
+  EXPECT_EQ(proxy.upstream.idle_connections("w"), 1u);
+}
+
 TEST_F(RequestProxyTest, request_without_a_route_gets_404_and_is_reported_as_not_executed) {
   send_request("POST", "/nowhere/x");
   ASSERT_TRUE(client_receives("}"));
