Mesh connections count in the account; a peer that has not greeted gets small frames only

30 connections of nobody, each with a frame of 8 MiB but its last byte, took 278 MB of a node where 64 were allowed, and 1,000 idle ones 770 descriptors where 400 were. Cause: a connection could announce 8 MiB before anybody knew who spoke, and nothing bounded their sum or number. Before its greeting a peer may send frames of 64 KiB; incomplete frames count in the mesh's part of the account, and connections of peers that have not greeted give way first.

--- a/src/runtime/mesh/connections.cc
+++ b/src/runtime/mesh/connections.cc
@@ -3,6 +3,7 @@
 #include "base/events.h"
 #include "base/ip.h"
 #include "mesh/frame.h"
+#include "net/clock.h"
 
 namespace pipit {
 
@@ -13,6 +14,8 @@
 constexpr std::size_t total_backlog_limit = 2 * max_frame_bytes;
 // Limit of unsent bytes that are still sent on a connection that is being closed: a leave message and frames before it.
 constexpr std::size_t closing_backlog_limit = 64u << 10;
+// Limit of the first frame of a connection, in which a peer says who it is.
+constexpr std::size_t max_first_frame_bytes = 64u << 10;
 constexpr Micros dial_timeout = seconds(1);
 }  // namespace
 
@@ -23,6 +26,7 @@
 Result<void> Connections::listen(std::string const& address) {
   std::uint16_t port = 0;
   split_address(address, own_host_, port);
+  if (budget_) door_.set_budget(*budget_, ListenerGroup::mesh);
   Result<void> const open = door_.open(address, [this](std::shared_ptr<TcpConnection> link) {
     std::shared_ptr<Connection> const connection = std::make_shared<Connection>();
     connection->id = ++next_id_;
@@ -59,6 +63,12 @@
   std::string const address = std::move(connection->dialled_address);
   connection->dialled_address.clear();
   connections_[id] = connection;
+  connection->identified = outbound;
+  if (ConnectionAccount* const account = connection->link->account())
+    account->give_way = [link = connection.get()] {
+      link->received = std::string();
+      link->link->abandon();
+    };
   connection->link->set_callbacks({nullptr,
                                    [this, id](std::string_view bytes) {
                                      std::map<ConnectionId, std::shared_ptr<Connection>>::iterator const position =
@@ -81,17 +91,32 @@
   while (bytes.size() - at >= 4) {
     std::string_view const rest = bytes.substr(at);
     std::size_t const need = announced_length(rest);
-    if (need == 0) return handle_close(id, TcpConnection::CloseReason::closed);
+    bool const refused = need == 0 || (!connection.identified && need > max_first_frame_bytes);
+    if (refused) return handle_close(id, TcpConnection::CloseReason::closed);
     if (rest.size() < need + 4) break;
     bool const good = callbacks_.frame(id, rest.substr(0, need + 4));
     if (!connections_.count(id)) return;
     if (!good) return handle_close(id, TcpConnection::CloseReason::closed);
+    identify(connection, rest);
     at += need + 4;
   }
   if (connection.received.empty())
     connection.received.assign(bytes.substr(at));
   else
     connection.received.erase(0, at);
+  if (!hold_received(connection)) handle_close(id, TcpConnection::CloseReason::reset);
+}
+
+// The connection of a known peer does not give way to new connections.
+void Connections::identify(Connection& connection, std::string_view frame) {
+  if (connection.identified || body_type_of(frame) != wire::Body::Hello) return;
+  connection.identified = true;
+  if (ConnectionAccount* const account = connection.link->account()) account->pin_request();
+}
+
+bool Connections::hold_received(Connection const& connection) {
+  ConnectionAccount* const account = connection.link->account();
+  return account == nullptr || account->hold_read_ahead(connection.received.size(), loop_time());
 }
 
 void Connections::send(ConnectionId id, std::string const& bytes) {
--- a/src/runtime/mesh/connections.h
+++ b/src/runtime/mesh/connections.h
@@ -23,7 +23,9 @@
     // A whole frame with its length prefix. Returns false if it is malformed; the connection is then closed.
     std::function<bool(ConnectionId, std::string_view frame)> frame;
   };
-  explicit Connections(Callbacks callbacks) : callbacks_(std::move(callbacks)) {}
+  // With a budget, accepted connections count in it, and give way to others when the mesh needs room.
+  explicit Connections(Callbacks callbacks, std::shared_ptr<ConnectionBudget> budget = nullptr)
+      : callbacks_(std::move(callbacks)), budget_(std::move(budget)) {}
   ~Connections();
 
   // 'address' is IP:port; its IP is also the source of outgoing connections. Error: bad_settings if it cannot be
@@ -47,14 +49,18 @@
     std::shared_ptr<TcpConnection> link;
     std::string dialled_address;  // set until the connection is open
     std::string received;         // start of an incomplete frame
+    bool identified = false;      // the peer has said who it is, or was dialled
   };
   void adopt(std::shared_ptr<Connection> const& connection, bool outbound);
   void receive(Connection& connection, std::string_view bytes);
+  static void identify(Connection& connection, std::string_view frame);
+  static bool hold_received(Connection const& connection);
   void handle_close(ConnectionId id, TcpConnection::CloseReason how);
   void drop_overfull(ConnectionId id);
   ConnectionId largest_backlog() const;
 
   Callbacks callbacks_;
+  std::shared_ptr<ConnectionBudget> const budget_;
   Listener door_;
   std::string own_host_;
   ConnectionId next_id_ = 0;
--- a/src/server/node_server.cc
+++ b/src/server/node_server.cc
@@ -81,7 +81,7 @@
     return good;
   };
   budget_ = std::make_shared<ConnectionBudget>(options_.limits);
-  connections_ = std::make_unique<Connections>(std::move(mesh_callbacks));
+  connections_ = std::make_unique<Connections>(std::move(mesh_callbacks), budget_);
 
   RequestProxy::Callbacks proxy_callbacks;
   proxy_callbacks.request_received = [this](std::uint64_t id, RequestInfo request) {
