Router and replica use the HTTP server of the node instead of libsoup's

60 clients with bodies that lacked their last byte took 111 MB of a router where 64 were allowed; 15 that sent chunks of one byte 1,680 MB (60 took 6.6 GB and 40 s without an ordinary answer): libsoup keeps an object a chunk and bounds neither connections nor their sum. Two servers were two to mend. ChatServer is now a small adapter over net/server (320 lines of libsoup's are gone), so the account, its limits and its choice hold for all programs; new flags memory-mb and descriptors. The body is shared with the attempt instead of copied twice.

--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -19,6 +19,11 @@
 constexpr std::size_t seed_limit = 3;
 constexpr std::int64_t span_limit = 600;    // seconds
 constexpr std::int64_t body_limit = 65536;  // KiB
+constexpr std::int64_t min_memory_mb = 32;
+constexpr std::int64_t max_memory_mb = 1000000000;
+constexpr std::int64_t min_descriptors = 256;
+constexpr std::int64_t max_descriptors = 1000000000;
+constexpr std::size_t bytes_per_megabyte = 1000000;
 
 // Raw values that are converted after reading: lists with commas between, seconds, KiB.
 struct RawValues {
@@ -28,6 +33,8 @@
   std::int64_t grace = 2;
   std::int64_t drain = 10;
   std::int64_t body = 4096;
+  std::int64_t memory = 1000;
+  std::int64_t descriptors = 0;
 };
 
 // Splits a list at its commas and trims spaces; empty items are left out.
@@ -69,6 +76,9 @@
       "drain", options::value(&raw.drain)->default_value(10),
       "seconds that a planned stop allows for requests in flight")(
       "body", options::value(&raw.body)->default_value(4096), "the largest body of a request, in KiB")(
+      "memory-mb", options::value(&raw.memory)->default_value(1000), "memory that the process may use, in MB")(
+      "descriptors", options::value(&raw.descriptors)->default_value(0),
+      "descriptors that the process may open; 0: what the system allows")(
       "faults", options::value(&settings.faults)->default_value(false), "allow fault points to be armed (tests only)");
   if (replica) {
     keys.add_options()("data", options::value(&settings.data_directory), "the data folder")(
@@ -148,6 +158,12 @@
   settings.grace = seconds(raw.grace);
   settings.drain = seconds(raw.drain);
   settings.max_body_bytes = static_cast<std::size_t>(raw.body) << 10;
+  if (raw.memory < min_memory_mb || raw.memory > max_memory_mb)
+    return fail(ErrorCode::bad_settings, "memory-mb: from 32 to 1000000000 MB");
+  if (raw.descriptors != 0 && (raw.descriptors < min_descriptors || raw.descriptors > max_descriptors))
+    return fail(ErrorCode::bad_settings, "descriptors: 0, or from 256 to 1000000000");
+  settings.memory_bytes = static_cast<std::size_t>(raw.memory) * bytes_per_megabyte;
+  settings.descriptors = static_cast<std::size_t>(raw.descriptors);
   return boost::outcome_v2::success();
 }
 
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -26,6 +26,8 @@
   Micros grace = seconds(2);                 // time after SIGTERM in which requests are still accepted
   Micros drain = seconds(10);                // time that a planned stop allows for requests in flight
   std::size_t max_body_bytes = 4u << 20;     // largest request body, in bytes
+  std::size_t memory_bytes = 1000000000;     // memory that the process may use
+  std::size_t descriptors = 0;               // descriptors that it may open; 0: what the system allows
   bool faults = false;                       // whether fault points may be armed
   bool help = false;                         // --help was given; only help_text is set then
   std::string help_text;
--- a/src/runtime/http/chat_server.h
+++ b/src/runtime/http/chat_server.h
@@ -1,37 +1,35 @@
-// HTTP server of a node for clients and operators, based on libsoup (§7, §8).
+// HTTP server of a router or replica for clients and operators (§7, §8).
 #pragma once
-#include <libsoup/soup.h>
-
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 
 #include "base/error.h"
+#include "net/server.h"
 
 namespace pipit {
 
-// Receives whole requests and sends answers or event streams. Owns the server's sockets. All methods must be called on
-// the main loop's thread.
+// Receives whole requests and sends answers or event streams, on the HTTP server that all programs share. All methods
+// must be called on the main loop's thread.
 class ChatServer {
  public:
-  // A received request. Valid only during the callback; it is answered by its id, then or later.
+  // A received request. It is answered by its id, then or later.
   struct Call {
     std::uint64_t id = 0;
     std::string method;
-    std::string path;
-    std::map<std::string, std::string> query;
+    std::string path;                          // decoded, without the query
+    std::map<std::string, std::string> query;  // decoded
     std::string body;
-    SoupMessageHeaders* request_headers = nullptr;
+    Head head;
     // Returns the value of a header field, or "" if it is missing.
-    std::string header(char const* name) const;
+    std::string header(char const* name) const { return head.get(name); }
   };
   struct Callbacks {
-    std::function<void(Call const&)> call;
+    std::function<void(Call&)> call;
     std::function<void(std::uint64_t id)> disconnected;  // the client disconnected before the answer was complete
   };
   // Requests with a body of more than 'max_body_bytes' are rejected.
-  ChatServer(Callbacks callbacks, std::size_t max_body_bytes);
+  ChatServer(Callbacks callbacks, std::size_t max_body_bytes, std::shared_ptr<ConnectionBudget> budget);
   ~ChatServer();
 
   // 'address' is IP:port. Error: bad_settings if it cannot be listened on.
@@ -45,38 +43,24 @@
   // connection if the client leaves too much unread.
   void write_chunk(std::uint64_t id, std::string const& bytes, std::map<std::string, std::string> const& headers = {});
   // Completes a stream.
-  void end(std::uint64_t id);
+  void end(std::uint64_t id) { server_.end_response(id); }
   // Sends a last chunk and then closes the connection without the end mark, so that the client sees a failed stream.
   void break_off(std::uint64_t id, std::string const& last);
-  // Whether a stream has begun for the call.
-  bool streaming(std::uint64_t id) const;
-  // Number of calls whose answer is not yet complete.
-  std::size_t open_calls() const { return calls_.size(); }
+  // Number of calls whose answer is not yet sent.
+  std::size_t open_calls() const { return server_.active_requests() + server_.flushing_connections(); }
   // Every later answer closes its connection.
-  void close_after_answers();
+  void close_after_answers() { server_.close_after_responses(); }
   // Accepts no new connections; open ones continue.
-  void stop_listening();
-  std::uint64_t aborted_bodies = 0;  // calls that were aborted because a body was too large or too slow
+  void stop_listening() { server_.stop_listening(); }
 
  private:
-  struct OpenCall;
-  static void on_started(SoupServer*, SoupServerMessage* message, gpointer self);
-  static void on_headers(SoupServer*, SoupServerMessage* message, char const* path, GHashTable* query, gpointer self);
-  static void on_call(SoupServer*, SoupServerMessage* message, char const* path, GHashTable* query, gpointer self);
-  static void on_finished(SoupServerMessage* message, gpointer data);
-  static void on_wrote_chunk(SoupServerMessage* message, gpointer data);
-  static void on_wrote_data(SoupServerMessage* message, guint size, gpointer data);
-  static gboolean on_peer(GSocket* socket, GIOCondition condition, gpointer data);
-  static gboolean on_timeout(gpointer data);
-  void remove(OpenCall& open_call, bool disconnected);
-  void abort(OpenCall& open_call);
+  void receive(Server::Request&& request);
+  void close_expired();
 
   Callbacks callbacks_;
   std::size_t const max_body_bytes_;
-  SoupServer* server_ = nullptr;
-  std::uint64_t next_id_ = 0;
-  bool closes_connections_ = false;
-  std::map<std::uint64_t, std::unique_ptr<OpenCall>> calls_;
+  Server server_;
+  unsigned expiry_timer_ = 0;
 };
 
 }  // namespace pipit
--- a/src/runtime/http/chat_upstream.cc
+++ b/src/runtime/http/chat_upstream.cc
@@ -77,7 +77,7 @@
 }
 
 void ChatUpstream::start(ChatAttemptStart const& start, std::string const& id, std::string const& path,
-                         std::string const& body, bool stream) {
+                         std::shared_ptr<std::string const> const& body, bool stream) {
   std::shared_ptr<ChatAttempt> const attempt = std::make_shared<ChatAttempt>();
   attempt->upstream = this;
   attempt->start = start;
@@ -104,7 +104,11 @@
   SoupMessageHeaders* const head = soup_message_get_request_headers(attempt->message);
   soup_message_headers_replace(head, "X-Request-Id", id.c_str());
   soup_message_headers_replace(head, "Connection", "close");
-  GBytes* const bytes = g_bytes_new(body.data(), body.size());
+  // The bytes are shared with the request that the client sent.
+  GBytes* const bytes = g_bytes_new_with_free_func(
+      body->data(), body->size(),
+      [](gpointer owner) { delete static_cast<std::shared_ptr<std::string const>*>(owner); },
+      new std::shared_ptr<std::string const>(body));
   soup_message_set_request_body_from_bytes(attempt->message, "application/json", bytes);
   g_bytes_unref(bytes);
   g_signal_connect(attempt->message, "starting", G_CALLBACK(on_starting), attempt.get());
--- a/src/runtime/http/chat_upstream.h
+++ b/src/runtime/http/chat_upstream.h
@@ -28,8 +28,8 @@
 
   // Starts an attempt. 'id' is sent to the worker as X-Request-Id, and the answer must carry it. The end of the attempt
   // is always reported by 'ended', unless it is cancelled.
-  void start(ChatAttemptStart const& start, std::string const& id, std::string const& path, std::string const& body,
-             bool stream);
+  void start(ChatAttemptStart const& start, std::string const& id, std::string const& path,
+             std::shared_ptr<std::string const> const& body, bool stream);
   // Ends the attempt of a request without a callback.
   void cancel(std::uint64_t chat_request);
   // Number of attempts in flight.
--- a/src/runtime/operator_calls.cc
+++ b/src/runtime/operator_calls.cc
@@ -15,7 +15,7 @@
 Micros now() { return g_get_monotonic_time(); }
 }  // namespace
 
-void RouterHost::handle_call(ChatServer::Call const& call) {
+void RouterHost::handle_call(ChatServer::Call& call) {
   bool const get = call.method == "GET";
   if (call.path == "/health" && get) return chat_server_->answer(call.id, 200, "application/json", "{\"ok\":true}");
   if (call.path == "/ready" && get) {
@@ -36,7 +36,7 @@
   handle_operator_call(call);
 }
 
-void RouterHost::handle_chat_call(ChatServer::Call const& call, bool chat) {
+void RouterHost::handle_chat_call(ChatServer::Call& call, bool chat) {
   if (call.body.size() > settings_.max_body_bytes)
     return refuse(call.id, Error{ErrorCode::too_large,
                                  "a body has at most " + std::to_string(settings_.max_body_bytes) + " bytes", ""});
@@ -50,7 +50,7 @@
   ClientRequest request;
   request.id = settings_.name + "-" + std::to_string(node_->plan.incarnation) + "-" + std::to_string(call.id);
   request.path = call.path;
-  request.body = call.body;
+  request.body = std::make_shared<std::string const>(std::move(call.body));
   request.stream = info.value().facts.stream;
   request.arrived_at = now();
   requests_.emplace(call.id, std::move(request));
--- a/src/runtime/router_host.cc
+++ b/src/runtime/router_host.cc
@@ -62,7 +62,11 @@
     apply_effects(out);
     return good;
   };
-  connections_ = std::make_unique<Connections>(std::move(mesh_callbacks));
+  ProcessLimits limits;
+  limits.memory_bytes = settings_.memory_bytes;
+  if (settings_.descriptors != 0) limits.descriptors = std::min(limits.descriptors, settings_.descriptors);
+  budget_ = std::make_shared<ConnectionBudget>(limits);
+  connections_ = std::make_unique<Connections>(std::move(mesh_callbacks), budget_);
 
   ChatUpstream::Callbacks upstream_callbacks;
   upstream_callbacks.sent = [this](std::uint64_t id) { node_->chat_attempt_sent(id); };
@@ -97,7 +101,7 @@
   upstream_ = std::make_unique<ChatUpstream>(std::move(upstream_callbacks));
 
   ChatServer::Callbacks server_callbacks;
-  server_callbacks.call = [this](ChatServer::Call const& call) { handle_call(call); };
+  server_callbacks.call = [this](ChatServer::Call& call) { handle_call(call); };
   server_callbacks.disconnected = [this](std::uint64_t id) {
     operator_calls_.erase(id);
     if (requests_.erase(id) == 0) return;
@@ -106,7 +110,7 @@
     apply_effects(out);
   };
   chat_server_ = std::make_unique<ChatServer>(std::move(server_callbacks),
-                                              std::max(settings_.max_body_bytes, description_limit + 4096));
+                                              std::max(settings_.max_body_bytes, description_limit + 4096), budget_);
 
   if (store)
     disk_ = std::make_unique<DiskTask>(std::move(disk), std::move(store), [this](bool good, std::string const& why) {
@@ -196,7 +200,7 @@
     if (position == requests_.end()) continue;
     Worker const* const worker = node_->fleet.find(start.worker);
     position->second.worker_zone = worker == nullptr ? "" : worker->row.zone;
-    attempt_bytes_by_zone_[position->second.worker_zone] += position->second.body.size();
+    attempt_bytes_by_zone_[position->second.worker_zone] += position->second.body->size();
     upstream_->start(start, position->second.id, position->second.path, position->second.body, position->second.stream);
   }
   for (ChatFailure const& failure : out.chat.failures) fail_request(failure);
@@ -305,7 +309,8 @@
     // The identity of a process cannot change while it runs; its limits and timeouts can.
     if (s.name != settings_.name || s.cluster != settings_.cluster || s.zone != settings_.zone ||
         s.mesh != settings_.mesh || s.http != settings_.http || s.data_directory != settings_.data_directory ||
-        s.initial_members != settings_.initial_members || s.models != settings_.models || s.seeds != settings_.seeds ||
+        s.initial_members != settings_.initial_members || s.memory_bytes != settings_.memory_bytes ||
+        s.descriptors != settings_.descriptors || s.models != settings_.models || s.seeds != settings_.seeds ||
         s.faults != settings_.faults || s.log != settings_.log)
       why = "only platform, grace, drain and body can change without a restart";
   }
--- a/src/runtime/router_host.h
+++ b/src/runtime/router_host.h
@@ -31,15 +31,15 @@
   struct ClientRequest {  // a client's request in flight
     std::string id;
     std::string path;
-    std::string body;
+    std::shared_ptr<std::string const> body;
     bool stream = false;
     bool answer_begun = false;
     std::string worker_zone;
     Micros arrived_at = 0;
   };
   void apply_effects(NodeEffects& out);
-  void handle_call(ChatServer::Call const& call);
-  void handle_chat_call(ChatServer::Call const& call, bool chat);
+  void handle_call(ChatServer::Call& call);
+  void handle_chat_call(ChatServer::Call& call, bool chat);
   void handle_operator_call(ChatServer::Call const& call);
   void handle_fault_call(ChatServer::Call const& call);
   void refuse(std::uint64_t id, Error const& error);
@@ -57,6 +57,7 @@
   MemberRole const role_;
   GMainLoop* loop_;
   std::unique_ptr<Node> node_;
+  std::shared_ptr<ConnectionBudget> budget_;
   std::unique_ptr<Connections> connections_;
   std::unique_ptr<ChatUpstream> upstream_;
   std::unique_ptr<ChatServer> chat_server_;
--- a/src/runtime/status.cc
+++ b/src/runtime/status.cc
@@ -91,6 +91,7 @@
   text.counters("pipit_mesh_bytes_total", "zone", mesh_bytes_by_zone_);
   text.gauge("pipit_mesh_backlog_bytes", connections_->backlog_bytes());
   traffic_.write_metrics(text);
+  write_metrics(*budget_, text);
   text.counters("pipit_leg_bytes_total", "zone", attempt_bytes_by_zone_);
   text.counters("pipit_answers_total", "kind", error_answers_);
   text.invariants();
