--- a/src/base/events.h
+++ b/src/base/events.h
@@ -21,6 +21,7 @@
   EVENT(111, metrics_listen_failed, WARNING, "the node cannot listen on the metrics address")               \
   EVENT(112, descriptors_exhausted, WARNING, "no file descriptor is left for new connections")              \
   EVENT(113, connections_limited, WARNING, "connections were closed for want of memory or connections")     \
+  EVENT(114, held_bytes_rose, INFO, "connections hold twice as many bytes as was logged last")              \
   EVENT(200, connection_opened, INFO, "a connection to a peer was opened")                                  \
   EVENT(201, connection_closed, INFO, "a connection to a peer was closed")                                  \
   EVENT(202, malformed_frame, WARNING, "a connection delivered a malformed frame")                          \
--- a/src/net/connection_budget.cc
+++ b/src/net/connection_budget.cc
@@ -28,6 +28,7 @@
 constexpr int mapped_allocation_bytes = 1 << 20;
 constexpr int trim_threshold_bytes = 1 << 20;
 constexpr std::size_t min_release_bytes = 4u << 20;
+constexpr std::size_t min_logged_peak_bytes = 256u << 10;
 constexpr Micros log_interval = seconds(1);
 
 struct Share {
@@ -112,9 +113,18 @@
   Part& of = part(account.group_);
   of.held_bytes = of.held_bytes - before + after;
   of.peak_bytes = std::max(of.peak_bytes, of.held_bytes);
+  if (of.peak_bytes >= std::max(min_logged_peak_bytes, 2 * of.logged_peak_bytes)) log_peak(account.group_, of);
   if (after < before) release_free_memory();
 }
 
+void ConnectionBudget::log_peak(ListenerGroup group, Part& of) {
+  of.logged_peak_bytes = of.peak_bytes;
+  log_event(Event::held_bytes_rose, std::string(name_of(group)) + ": " + std::to_string(of.peak_bytes) + " of " +
+                                        std::to_string(of.max_bytes) + " bytes, at most " +
+                                        std::to_string(of.peak_connections) + " of " +
+                                        std::to_string(of.max_connections) + " connections");
+}
+
 // Returns free memory to the system after a peak: the allocator keeps what it has freed between blocks in use.
 void ConnectionBudget::release_free_memory() {
   std::size_t held = 0;
--- a/src/net/connection_budget.h
+++ b/src/net/connection_budget.h
@@ -63,6 +63,7 @@
     std::size_t pinned_bytes = 0;  // of running requests
     std::size_t peak_bytes = 0;
     std::size_t peak_connections = 0;
+    std::size_t logged_peak_bytes = 0;
     std::list<ConnectionAccount*> accounts;
   };
   Part& part(ListenerGroup group) { return parts_[static_cast<std::size_t>(group)]; }
@@ -72,6 +73,7 @@
   bool make_connection(ListenerGroup group);
   static void ask_to_give_way(ConnectionAccount& account);
   void log_closing(ListenerGroup group, char const* cause);
+  static void log_peak(ListenerGroup group, Part& of);
   void release_free_memory();
 
   std::array<Part, listener_group_count> parts_;
