A refusal for want of room is logged once a second, not once a connection

Event 113 tells what the account had no room for; event 507 a line for each refused connection would let a crowd write the log.

--- a/src/net/server.cc
+++ b/src/net/server.cc
@@ -119,7 +119,8 @@
 }
 
 void Server::reject(Connection& conn, unsigned status) {
-  log_event(Event::call_rejected, std::to_string(status) + " to " + conn.tcp->peer_ip());
+  // The budget logs what it has no room for, once a second.
+  if (status != 503) log_event(Event::call_rejected, std::to_string(status) + " to " + conn.tcp->peer_ip());
   Head head;
   head.status = status;
   if (status == 503) head = unavailable_head();
