The quick start's test reads standard output only, apart from curl's progress

Cause: the test merged standard error into the output that it searches for lines, and curl writes its progress there without line ends, in front of whatever comes next. The check stays as it was, on standard output alone, and prints both outputs when it fails.

--- a/tests/quickstart.sh
+++ b/tests/quickstart.sh
@@ -11,6 +11,7 @@
 grep -q 'curl -N' "$folder/paste.sh"
 cd "$folder"
 mkdir -p k1 k2 k3
-timeout 60 bash -m paste.sh > out.txt 2>&1 || { cat out.txt; exit 1; }
+# Standard error is kept apart: curl writes its progress there, without line ends, even in front of an event.
+timeout 60 bash -m paste.sh > out.txt 2> errors.txt || { cat out.txt errors.txt; exit 1; }
 cat out.txt | grep -a '^data: ' | tail -3
-grep -aq '^data: \[DONE\]' out.txt
+grep -aq '^data: \[DONE\]' out.txt || { cat out.txt errors.txt; exit 1; }
